--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# Targets for people and CI. Every target works on a machine that has only Go.
+
+MODULES   := pkg ebonyd ebonyctl emul
+LINT      := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+LINT_BIN  := $(shell go env GOPATH)/bin/golangci-lint
+
+.PHONY: build test race bench format lint demo lint-tool
+
+build:
+	mkdir -p bin
+	go build -o bin/ ./ebonyd/cmd/ebonyd ./ebonyctl/cmd/ebonyctl ./emul/cmd/ebonyemu
+
+test:
+	go test $(MODULES:%=./%/...)
+
+race:
+	go test -race $(MODULES:%=./%/...)
+
+bench:
+	go test -run '^$$' -bench . -benchmem $(MODULES:%=./%/...)
+
+lint-tool:
+	@"$(LINT_BIN)" version 2>/dev/null | grep -q 'version v\?2.15.0' || go install $(LINT)
+
+format: lint-tool
+	@for m in $(MODULES); do (cd $$m && "$(LINT_BIN)" fmt -c ../.golangci.yml --diff ./...) || exit 1; done
+
+lint: lint-tool
+	@for m in $(MODULES); do (cd $$m && go vet ./... && "$(LINT_BIN)" run -c ../.golangci.yml ./...) || exit 1; done
--- /dev/null
+++ b/ebonyctl/cmd/ebonyctl/main.go
@@ -0,0 +1,4 @@
+// Command ebonyctl is under construction.
+package main
+
+func main() {}
--- /dev/null
+++ b/ebonyd/cmd/ebonyd/main.go
@@ -0,0 +1,4 @@
+// Command ebonyd is under construction.
+package main
+
+func main() {}
--- /dev/null
+++ b/emul/cmd/ebonyemu/main.go
@@ -0,0 +1,4 @@
+// Command ebonyemu is under construction.
+package main
+
+func main() {}
--- /dev/null
+++ b/pkg/conf/duration.go
@@ -0,0 +1,27 @@
+package conf
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// MarshalJSON writes the duration as a string with a unit.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
+
+// UnmarshalJSON reads a string with a unit; a bare number is refused because
+// its unit would be a guess.
+func (d *Duration) UnmarshalJSON(b []byte) error {
+	var s string
+	if err := json.Unmarshal(b, &s); err != nil {
+		return fmt.Errorf("duration %s is not a string with a unit such as \"250ms\"", b)
+	}
+	v, err := time.ParseDuration(s)
+	if err != nil {
+		return fmt.Errorf("duration %q: %w", s, err)
+	}
+	*d = Duration(v)
+	return nil
+}
--- /dev/null
+++ b/pkg/stats/stats.go
@@ -0,0 +1,46 @@
+// Package stats counts what an instance does. Counters are fields, so that
+// several instances fit in one process; a program's main publishes them.
+package stats
+
+import (
+	"encoding/json"
+	"sync/atomic"
+
+	"ebonypaddle/pkg/wire"
+)
+
+// ByReason holds one counter for each reason.
+type ByReason [wire.ReasonCount]atomic.Uint64
+
+// Add counts one event with the reason.
+func (c *ByReason) Add(r wire.Reason) { c[r].Add(1) }
+
+// Get returns the count for the reason.
+func (c *ByReason) Get(r wire.Reason) uint64 { return c[r].Load() }
+
+// Map returns the counters that are not zero by name of reason.
+func (c *ByReason) Map() map[string]uint64 {
+	m := map[string]uint64{}
+	for i := range c {
+		if n := c[i].Load(); n > 0 {
+			m[wire.Reason(i).String()] = n
+		}
+	}
+	return m
+}
+
+// String returns the counters as JSON, which makes ByReason an expvar.Var.
+func (c *ByReason) String() string {
+	b, err := json.Marshal(c.Map())
+	if err != nil {
+		return "{}"
+	}
+	return string(b)
+}
+
+// Counters are the counters of one instance.
+type Counters struct {
+	// Refused counts refusals to callers, Dropped frames discarded without
+	// an answer, Retried repeated attempts, Closed flows given up.
+	Refused, Dropped, Retried, Closed ByReason
+}
--- /dev/null
+++ b/pkg/wire/codec.go
@@ -0,0 +1,172 @@
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pires/go-proxyproto"
+)
+
+// MaxFrame is the largest encoded frame in bytes. With the PROXY and IP
+// headers it stays below an MTU of 1,500 bytes.
+const MaxFrame = 1400
+
+// MaxToken is the largest token a frame may carry, in bytes.
+const MaxToken = 128
+
+// MaxBody is the largest body in bytes that fits into a frame beside a token.
+const MaxBody = 1100
+
+// MaxParts bounds the pieces of one answer, and with it the memory that a
+// caller spends on reassembly.
+const MaxParts = 1024
+
+// Packet is a frame with the addresses of its PROXY protocol header.
+type Packet struct {
+	// Caller is the caller's address, Service the address it sent to.
+	Caller, Service netip.AddrPort
+	// Via is the fabric address that a caller's packet came through. It is
+	// set by the receiver and not part of the datagram.
+	Via   netip.AddrPort
+	Frame Frame
+}
+
+// DecodeError reports a datagram that was refused.
+type DecodeError struct {
+	Reason Reason
+	Err    error
+}
+
+func (e *DecodeError) Error() string { return fmt.Sprintf("decode frame: %s: %v", e.Reason, e.Err) }
+
+// Unwrap returns the cause.
+func (e *DecodeError) Unwrap() error { return e.Err }
+
+var (
+	errNoHeader  = errors.New("no PROXY protocol v2 header")
+	errAddresses = errors.New("PROXY header without UDP addresses")
+)
+
+var (
+	encMode = mustEnc()
+	decMode = mustDec()
+)
+
+func mustEnc() cbor.EncMode {
+	m, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+func mustDec() cbor.DecMode {
+	m, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+		MaxNestedLevels:  4,
+		MaxArrayElements: 64,
+		MaxMapPairs:      16,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+// EncodeFrame returns the CBOR form of a frame. It fails when the result
+// exceeds MaxFrame.
+func EncodeFrame(f *Frame) ([]byte, error) {
+	b, err := encMode.Marshal(f)
+	if err != nil {
+		return nil, fmt.Errorf("encode frame: %w", err)
+	}
+	if len(b) > MaxFrame {
+		return nil, fmt.Errorf("encode frame: %d bytes exceed the limit of %d", len(b), MaxFrame)
+	}
+	return b, nil
+}
+
+// DecodeFrame parses a frame. A refused frame yields a *DecodeError.
+func DecodeFrame(b []byte, f *Frame) error {
+	if len(b) > MaxFrame {
+		return &DecodeError{ReasonTooLarge, fmt.Errorf("%d bytes exceed the limit of %d", len(b), MaxFrame)}
+	}
+	*f = Frame{}
+	if err := decMode.Unmarshal(b, f); err != nil {
+		return &DecodeError{ReasonMalformed, err}
+	}
+	return f.check()
+}
+
+func (f *Frame) check() error {
+	switch {
+	case f.Kind == 0 || f.Kind >= kindEnd:
+		return &DecodeError{ReasonMalformed, fmt.Errorf("kind %d does not exist", f.Kind)}
+	case f.Outcome >= outcomeEnd:
+		return &DecodeError{ReasonMalformed, fmt.Errorf("outcome %d does not exist", f.Outcome)}
+	case f.Reason >= reasonEnd:
+		return &DecodeError{ReasonMalformed, fmt.Errorf("reason %d does not exist", f.Reason)}
+	case len(f.Token) > MaxToken:
+		return &DecodeError{ReasonTooLarge, fmt.Errorf("token of %d bytes exceeds the limit of %d", len(f.Token), MaxToken)}
+	case f.Parts > MaxParts:
+		return &DecodeError{ReasonTooLarge, fmt.Errorf("%d parts exceed the limit of %d", f.Parts, MaxParts)}
+	case f.Parts > 0 && f.Part >= f.Parts:
+		return &DecodeError{ReasonMalformed, fmt.Errorf("part %d of %d", f.Part, f.Parts)}
+	}
+	return nil
+}
+
+// Encode returns the datagram of a packet: PROXY header and frame.
+func Encode(p *Packet) ([]byte, error) {
+	body, err := EncodeFrame(&p.Frame)
+	if err != nil {
+		return nil, err
+	}
+	h := proxyproto.Header{
+		Version:           2,
+		Command:           proxyproto.PROXY,
+		TransportProtocol: proxyproto.UDPv4,
+		SourceAddr:        net.UDPAddrFromAddrPort(p.Caller),
+		DestinationAddr:   net.UDPAddrFromAddrPort(p.Service),
+	}
+	if p.Caller.Addr().Is6() {
+		h.TransportProtocol = proxyproto.UDPv6
+	}
+	b, err := h.Format()
+	if err != nil {
+		return nil, fmt.Errorf("encode PROXY header: %w", err)
+	}
+	return append(b, body...), nil
+}
+
+// Decode parses a datagram. A refused one yields a *DecodeError.
+func Decode(b []byte, p *Packet) error {
+	rd := bytes.NewReader(b)
+	buf := bufio.NewReaderSize(rd, len(b)+16)
+	h, err := proxyproto.Read(buf)
+	if err != nil {
+		return &DecodeError{ReasonMalformed, err}
+	}
+	if h.Version != 2 {
+		return &DecodeError{ReasonMalformed, errNoHeader}
+	}
+	src, dst, ok := h.UDPAddrs()
+	if !ok {
+		return &DecodeError{ReasonMalformed, errAddresses}
+	}
+	p.Caller, p.Service = unmapped(src), unmapped(dst)
+	rest := b[len(b)-rd.Len()-buf.Buffered():]
+	return DecodeFrame(rest, &p.Frame)
+}
+
+func unmapped(a *net.UDPAddr) netip.AddrPort {
+	ap := a.AddrPort()
+	return netip.AddrPortFrom(ap.Addr().Unmap(), ap.Port())
+}
--- /dev/null
+++ b/pkg/wire/frame.go
@@ -0,0 +1,133 @@
+// Package wire defines the frames exchanged between callers, instances and
+// backend servers, and the datagrams that carry them: a PROXY protocol v2
+// header followed by one CBOR-encoded frame.
+package wire
+
+import (
+	"time"
+
+	"ebonypaddle/pkg/conf"
+)
+
+// Kind tells what a frame asks for or reports.
+type Kind uint8
+
+// Kinds of frames. Open to Cancel travel from the caller, Opened to Refusal
+// travel to the caller; Probe and Probed run between instance and server.
+const (
+	KindOpen    Kind = iota + 1 // open a flow
+	KindOpened                  // flow is open, carries its token
+	KindData                    // one datagram of an open flow, either direction
+	KindClose                   // the caller or server ends the flow
+	KindClosed                  // the balancer gave the flow up
+	KindRequest                 // one request
+	KindAnswer                  // one part of the answer to a request
+	KindRefusal                 // a request outcome other than done
+	KindCancel                  // the caller no longer wants the answer
+	KindProbe                   // asks a server to confirm its identity
+	KindProbed                  // a server's confirmation
+	kindEnd
+)
+
+// Flags of a frame.
+const (
+	// FlagOnce marks a request that may run at most once.
+	FlagOnce uint8 = 1 << iota
+	// FlagShed marks a server's refusal to run a request.
+	FlagShed
+	// FlagCold marks a frame from a server in cold start that refuses work.
+	FlagCold
+	// FlagDraining marks a frame from a server that accepts no new work.
+	FlagDraining
+	// FlagStateless asks for no token: the caller cannot carry one.
+	FlagStateless
+)
+
+// Outcome is the result of a request as reported to the caller.
+type Outcome uint8
+
+// Outcomes of a request.
+const (
+	OutcomeNone    Outcome = iota
+	OutcomeDone            // the answer is complete
+	OutcomeNotRun          // the request was not recorded
+	OutcomeUnknown         // the request may or may not have been recorded
+	outcomeEnd
+)
+
+// String returns the outcome as used in logs and counters.
+func (o Outcome) String() string {
+	switch o {
+	case OutcomeNone:
+		return "none"
+	case OutcomeDone:
+		return "done"
+	case OutcomeNotRun:
+		return "notRun"
+	case OutcomeUnknown:
+		return "unknown"
+	}
+	return "invalid"
+}
+
+// RequestID identifies a request of a caller. The caller draws it at random.
+type RequestID [16]byte
+
+// Load is a server's own report of its load. It can lag or mislead.
+type Load struct {
+	_ struct{} `cbor:",toarray"`
+	// InFlight is the number of requests in a slot or queued.
+	InFlight uint16
+	// Flows is the number of open flows.
+	Flows uint16
+	// Slots is the number of requests the server runs at once.
+	Slots uint16
+}
+
+// Frame is one message between caller, instance and backend server.
+type Frame struct {
+	_    struct{} `cbor:",toarray"`
+	Kind Kind
+	// Flow is chosen by the caller and names the flow among its own.
+	Flow uint64
+	// Token is a flow token or, in a request that may run once, a ticket.
+	Token []byte
+	// ID is the request the frame belongs to.
+	ID RequestID
+	// Attempt numbers the tries of one request, so that late answers of an
+	// earlier try are told apart. Callers leave it zero.
+	Attempt uint32
+	// Part and Parts number the pieces of an answer; Part starts at 0.
+	Part, Parts uint16
+	// Timeout is the time the caller still waits, in milliseconds. Callers
+	// state a duration because their clocks are not trusted.
+	Timeout uint32
+	// Deadline is the Unix time in milliseconds after which a server must
+	// discard the frame. Only frames to servers carry it.
+	Deadline int64
+	Flags    uint8
+	Outcome  Outcome
+	Reason   Reason
+	Body     []byte
+	// Service, Server, Generation and Boot identify the backend server. Boot
+	// is drawn by the server at each start.
+	Service    conf.ServiceID
+	Server     conf.ServerID
+	Generation uint32
+	Boot       uint64
+	Load       Load
+}
+
+// DeadlineTime returns the deadline, or the zero time when there is none.
+func (f *Frame) DeadlineTime() time.Time {
+	if f.Deadline == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(f.Deadline)
+}
+
+// SetDeadline sets the deadline, rounded down to a millisecond.
+func (f *Frame) SetDeadline(t time.Time) { f.Deadline = t.UnixMilli() }
+
+// Has reports whether all bits of flag are set.
+func (f *Frame) Has(flag uint8) bool { return f.Flags&flag == flag }
