--- a/pkg/conf/model.go
+++ b/pkg/conf/model.go
@@ -32,6 +32,8 @@
 	Name string `json:"name"`
 	Half string `json:"half"`
 	Mark Mark   `json:"mark"`
+	// Since is when the mark was set.
+	Since time.Time `json:"since,omitzero"`
 	// Entries are the places at which instances may run. The number of
 	// places of a half bounds what all its instances send together.
 	Entries []Entry `json:"entries"`
