wire: encode and decode the PROXY header alone

Cause: the fabric stand-in passes frame bytes of a caller on as they came, so it needs the header without decoding and encoding the frame. Change: EncodeHeader and DecodeHeader, which Encode and Decode now use. Ruled out: decoding the frame in the fabric, which would hide malformed frames from the instances. Conclusion: header rules stay in one package.

--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -129,41 +129,59 @@
 	if err != nil {
 		return nil, err
 	}
+	b, err := EncodeHeader(p.Caller, p.Service)
+	if err != nil {
+		return nil, err
+	}
+	return append(b, body...), nil
+}
+
+// EncodeHeader returns the PROXY header that precedes a frame.
+func EncodeHeader(caller, service netip.AddrPort) ([]byte, error) {
 	h := proxyproto.Header{
 		Version:           2,
 		Command:           proxyproto.PROXY,
 		TransportProtocol: proxyproto.UDPv4,
-		SourceAddr:        net.UDPAddrFromAddrPort(p.Caller),
-		DestinationAddr:   net.UDPAddrFromAddrPort(p.Service),
+		SourceAddr:        net.UDPAddrFromAddrPort(caller),
+		DestinationAddr:   net.UDPAddrFromAddrPort(service),
 	}
-	if p.Caller.Addr().Is6() {
+	if caller.Addr().Is6() {
 		h.TransportProtocol = proxyproto.UDPv6
 	}
 	b, err := h.Format()
 	if err != nil {
 		return nil, fmt.Errorf("encode PROXY header: %w", err)
 	}
-	return append(b, body...), nil
+	return b, nil
 }
 
 // Decode parses a datagram. A refused one yields a *DecodeError.
 func Decode(b []byte, p *Packet) error {
+	caller, service, rest, err := DecodeHeader(b)
+	if err != nil {
+		return err
+	}
+	p.Caller, p.Service = caller, service
+	return DecodeFrame(rest, &p.Frame)
+}
+
+// DecodeHeader parses the PROXY header of a datagram and returns its addresses
+// and the bytes after it. A refused header yields a *DecodeError.
+func DecodeHeader(b []byte) (caller, service netip.AddrPort, rest []byte, err error) {
 	rd := bytes.NewReader(b)
 	buf := bufio.NewReaderSize(rd, len(b)+16)
 	h, err := proxyproto.Read(buf)
 	if err != nil {
-		return &DecodeError{ReasonMalformed, err}
+		return caller, service, nil, &DecodeError{ReasonMalformed, err}
 	}
 	if h.Version != 2 {
-		return &DecodeError{ReasonMalformed, errNoHeader}
+		return caller, service, nil, &DecodeError{ReasonMalformed, errNoHeader}
 	}
 	src, dst, ok := h.UDPAddrs()
 	if !ok {
-		return &DecodeError{ReasonMalformed, errAddresses}
+		return caller, service, nil, &DecodeError{ReasonMalformed, errAddresses}
 	}
-	p.Caller, p.Service = unmapped(src), unmapped(dst)
-	rest := b[len(b)-rd.Len()-buf.Buffered():]
-	return DecodeFrame(rest, &p.Frame)
+	return unmapped(src), unmapped(dst), b[len(b)-rd.Len()-buf.Buffered():], nil
 }
 
 func unmapped(a *net.UDPAddr) netip.AddrPort {
