--- /dev/null
+++ b/pkg/store/errors.go
@@ -0,0 +1,154 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+)
+
+// Cause says why a call failed.
+type Cause uint8
+
+// Causes. Each has a counter for errors and one for retries.
+const (
+	CauseTimeout   Cause = iota // no answer in time
+	CauseConnect                // no connection, so nothing was sent
+	CauseTransport              // the connection broke before the answer
+	CauseStatus                 // an HTTP status that reports a failure
+	CauseThrottled              // the platform refused the rate of calls
+	CauseMalformed              // the answer is not the JSON expected
+	CauseConflict
+	CauseGone
+	CauseNotFound
+	CauseRequest // the call itself is invalid
+	causeEnd
+)
+
+var causeNames = [causeEnd]string{"timeout", "connect", "transport", "status", "throttled", "malformed", "conflict", "gone", "notFound", "request"}
+
+// String returns the name of the cause as used in counters.
+func (c Cause) String() string {
+	if c >= causeEnd {
+		return "invalid"
+	}
+	return causeNames[c]
+}
+
+// ByCause holds one counter for each cause.
+type ByCause [causeEnd]atomic.Uint64
+
+// Add counts one event.
+func (b *ByCause) Add(c Cause) { b[c].Add(1) }
+
+// Get returns the count for the cause.
+func (b *ByCause) Get(c Cause) uint64 { return b[c].Load() }
+
+// Counters are the counters of one client.
+type Counters struct {
+	// Calls counts HTTP calls, ReadBacks reads after a lost answer, Resolved
+	// lost answers whose write was found, Unresolved those left unknown.
+	Calls, ReadBacks, Resolved, Unresolved atomic.Uint64
+	Errors, Retries                        ByCause
+}
+
+// ConflictError reports that a conditional write did not find its revision.
+type ConflictError struct {
+	Kind, Name string
+	// Rev and Value are current; Rev is 0 when the object does not exist.
+	// Value is nil when it could not be read.
+	Rev   uint64
+	Value json.RawMessage
+	// Uncertain is set when the answer was lost and a later write of another
+	// writer may have replaced this one.
+	Uncertain bool
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("%s %q is at revision %d", e.Kind, e.Name, e.Rev)
+}
+
+// UnavailableError reports that the object API gave no usable answer.
+type UnavailableError struct {
+	Cause Cause
+	// Uncertain is set when a write may have taken effect.
+	Uncertain bool
+	Err       error
+}
+
+func (e *UnavailableError) Error() string {
+	if e.Uncertain {
+		return fmt.Sprintf("object API unavailable (%s), the write may have taken effect: %v", e.Cause, e.Err)
+	}
+	return fmt.Sprintf("object API unavailable (%s): %v", e.Cause, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error { return e.Err }
+
+// GoneError reports that a watch asked for changes that are no longer kept.
+type GoneError struct{ Path string }
+
+func (e *GoneError) Error() string { return fmt.Sprintf("%s: changes are no longer kept", e.Path) }
+
+// NotFoundError reports an object that does not exist.
+type NotFoundError struct{ Path string }
+
+func (e *NotFoundError) Error() string { return fmt.Sprintf("%s does not exist", e.Path) }
+
+// causeOf classifies an error and tells whether a read may be repeated.
+func causeOf(err error) (Cause, bool) {
+	var un *UnavailableError
+	var conflict *ConflictError
+	var gone *GoneError
+	var missing *NotFoundError
+	switch {
+	case errors.As(err, &un):
+		return un.Cause, true
+	case errors.As(err, &conflict):
+		return CauseConflict, false
+	case errors.As(err, &gone):
+		return CauseGone, false
+	case errors.As(err, &missing):
+		return CauseNotFound, false
+	}
+	return CauseRequest, false
+}
+
+func transportError(err error) error {
+	var op *net.OpError
+	switch {
+	case errors.As(err, &op) && op.Op == "dial":
+		return &UnavailableError{Cause: CauseConnect, Err: err}
+	case errors.Is(err, context.DeadlineExceeded):
+		return &UnavailableError{Cause: CauseTimeout, Err: err}
+	}
+	return &UnavailableError{Cause: CauseTransport, Err: err}
+}
+
+func statusError(req *http.Request, status int, body []byte) error {
+	switch {
+	case status == http.StatusOK:
+		return nil
+	case status == http.StatusConflict:
+		var cur struct {
+			Rev uint64 `json:"rev"`
+		}
+		if err := json.Unmarshal(body, &cur); err != nil {
+			return &UnavailableError{Cause: CauseMalformed, Err: err}
+		}
+		return &ConflictError{Rev: cur.Rev}
+	case status == http.StatusGone:
+		return &GoneError{Path: req.URL.Path}
+	case status == http.StatusNotFound:
+		return &NotFoundError{Path: req.URL.Path}
+	case status == http.StatusTooManyRequests:
+		return &UnavailableError{Cause: CauseThrottled, Err: fmt.Errorf("status %d", status)}
+	case status >= 500:
+		return &UnavailableError{Cause: CauseStatus, Err: fmt.Errorf("status %d", status)}
+	}
+	return fmt.Errorf("object API: %s %s: status %d: %.200s", req.Method, req.URL.Path, status, body)
+}
