--- /dev/null
+++ b/emul/server/flow.go
@@ -0,0 +1,58 @@
+package server
+
+import (
+	"net/netip"
+	"time"
+
+	"ebonypaddle/emul/body"
+	"ebonypaddle/pkg/wire"
+)
+
+// handleFlow processes the frames of flows.
+func (h *Host) handleFlow(now time.Time, via netip.AddrPort, p *wire.Packet) {
+	k := flowKey{p.Caller, p.Frame.Flow}
+	fl := h.flows[k]
+	if fl != nil {
+		fl.via, fl.pkt = via, *p
+	}
+	switch p.Frame.Kind {
+	case wire.KindOpen:
+		h.open(now, via, p, k)
+	case wire.KindData:
+		if fl == nil {
+			h.count.UnknownFlow++
+			h.send(now, via, p, wire.Frame{Kind: wire.KindClosed, Reason: wire.ReasonUnknownFlow})
+			return
+		}
+		h.send(now, via, p, wire.Frame{Kind: wire.KindData, Body: p.Frame.Body})
+	case wire.KindClose:
+		delete(h.flows, k)
+	}
+}
+
+// open adds a flow. A repeated open frame is answered again.
+func (h *Host) open(now time.Time, via netip.AddrPort, p *wire.Packet, k flowKey) {
+	if h.flows[k] == nil {
+		if h.draining || (h.Connections > 0 && len(h.flows) >= h.Connections) {
+			h.refuse(now, via, p, wire.ReasonServerShed)
+			return
+		}
+		h.flows[k] = &flow{pkt: *p, via: via, next: now.Add(time.Duration(h.Push))}
+	}
+	h.send(now, via, p, wire.Frame{Kind: wire.KindOpened})
+}
+
+// push sends the feed to flows whose interval is over.
+func (h *Host) push(now time.Time) {
+	if h.Push <= 0 {
+		return
+	}
+	for _, fl := range h.flows {
+		if fl.next.After(now) {
+			continue
+		}
+		fl.next = now.Add(time.Duration(h.Push))
+		fl.seq++
+		h.send(now, fl.via, &fl.pkt, wire.Frame{Kind: wire.KindData, Body: body.Data(body.Push, fl.seq)})
+	}
+}
