--- a/emul/object/object_test.go
+++ b/emul/object/object_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -145,6 +146,18 @@
 	b.put(t, store.KindInstance, "i1", objs[0].Rev, `{"state":"leaving"}`)
 }
 
+// Guards against packets for instances that are leaving.
+func TestLive(t *testing.T) {
+	b := newBench(t, 0)
+	b.put(t, store.KindInstance, "i1", 0, `{"data":"127.0.0.1:1","state":"leaving"}`)
+	b.put(t, store.KindInstance, "i2", 0, `{"data":"127.0.0.1:2","state":"live"}`)
+	b.now.Add(int64(time.Second))
+	list, err := object.Live(t.Context(), b.Client)
+	assert.NilError(t, err)
+	assert.Equal(t, len(list), 1)
+	assert.Equal(t, list[0], netip.MustParseAddrPort("127.0.0.1:2"))
+}
+
 // Guards against faults that cannot be set from outside the process.
 func TestFaultOverHTTP(t *testing.T) {
 	b := newBench(t, 0)
--- a/emul/object/server.go
+++ b/emul/object/server.go
@@ -183,7 +183,7 @@
 	if ev.Deleted = r.Method == http.MethodDelete; ev.Deleted {
 		ev.Value = nil
 	}
-	if err != nil || readErr != nil || !(ev.Deleted || json.Valid(body)) {
+	if err != nil || readErr != nil || (!ev.Deleted && !json.Valid(body)) {
 		http.Error(w, "write needs If-Match and a JSON value", http.StatusBadRequest)
 		return
 	}
--- a/emul/object/state.go
+++ b/emul/object/state.go
@@ -18,7 +18,7 @@
 // Instance is the value of an object of kind instance.
 type Instance struct {
 	Data netip.AddrPort `json:"data"`
-	// State is "live" or "leaving".
+	// State is StateLive or "leaving".
 	State string `json:"state"`
 }
 
