emul: load tool and ebonyemu program

Cause: broken flows, lost answers and repeated runs must show up in a number that a run can fail on. Change: emul/caller with flows, requests, tickets and reassembly, a load run that compares outcomes with the servers' records, and ebonyemu with the subcommands object-api, fabric, server and caller. Ruled out: reporting a refusal as notRun after several frames of a repeatable request, because another of the frames may have run; taking a second ticket. Conclusion: the load tool reports violations of at-most-once, notRun, whole answers and routing.

--- /dev/null
+++ b/emul/caller/load_test.go
@@ -0,0 +1,146 @@
+package caller_test
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ebonypaddle/emul/caller"
+	"ebonypaddle/emul/fabric"
+	"ebonypaddle/emul/server"
+	"ebonypaddle/pkg/conf"
+	"ebonypaddle/pkg/wire"
+)
+
+// relay is the least that can stand between fabric and server: one server, a
+// constant ticket and no memory, unless once is set. It repeats every ticketed
+// request so that only once keeps it from running twice.
+type relay struct {
+	conn   *net.UDPConn
+	server netip.AddrPort
+	via    netip.AddrPort
+	once   bool
+	seen   map[wire.RequestID]bool
+}
+
+func (r *relay) run() {
+	buf := make([]byte, 2048)
+	for {
+		n, from, err := r.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return
+		}
+		var p wire.Packet
+		if wire.Decode(buf[:n], &p) != nil {
+			continue
+		}
+		if from == r.server {
+			p.Frame.Token = []byte("token")
+			r.send(r.via, &p)
+			continue
+		}
+		r.fromCaller(&p)
+	}
+}
+
+func (r *relay) fromCaller(p *wire.Packet) {
+	f := &p.Frame
+	if f.Kind == wire.KindRequest && f.Has(wire.FlagOnce) && len(f.Token) == 0 {
+		p.Frame = wire.Frame{Kind: wire.KindRefusal, ID: f.ID, Outcome: wire.OutcomeNotRun, Reason: wire.ReasonTicketNeeded, Token: []byte("ticket")}
+		r.send(r.via, p)
+		return
+	}
+	f.Service, f.Server = 1, 2
+	repeat := 1
+	if f.Kind == wire.KindRequest && f.Has(wire.FlagOnce) {
+		if repeat = 2; r.once {
+			repeat = 1
+			if r.seen[f.ID] {
+				return
+			}
+			r.seen[f.ID] = true
+		}
+	}
+	for range repeat {
+		r.send(r.server, p)
+	}
+}
+
+func (r *relay) send(to netip.AddrPort, p *wire.Packet) {
+	if b, err := wire.Encode(p); err == nil {
+		_, _ = r.conn.WriteToUDPAddrPort(b, to)
+	}
+}
+
+// runLoad runs callers, fabric, relay and one server in this process.
+func runLoad(t *testing.T, once bool) *caller.Report {
+	t.Helper()
+	local := netip.MustParseAddrPort("127.0.0.1:0")
+	pool := &server.Pool{Clock: time.Now, Hosts: []*server.Host{{
+		Rand: rand.New(rand.NewPCG(11, 12)), Config: server.Config{
+			Service: 1, ID: 2, Addr: local, Slots: 64, ColdSlots: 64, Mean: conf.Duration(time.Millisecond), Push: conf.Duration(20 * time.Millisecond),
+		},
+	}}}
+	assert.NilError(t, pool.Listen())
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(local))
+	assert.NilError(t, err)
+	fab := &fabric.Fabric{
+		Clock: time.Now, Rand: rand.New(rand.NewPCG(13, 14)), Services: []netip.AddrPort{local}, Inside: local,
+		List: func(context.Context) ([]netip.AddrPort, error) {
+			return []netip.AddrPort{conn.LocalAddr().(*net.UDPAddr).AddrPort()}, nil
+		},
+	}
+	assert.NilError(t, fab.Listen())
+	fab.SetFault(fabric.Fault{Duplicate: 0.2, Reorder: 0.2})
+	r := &relay{conn: conn, server: pool.Hosts[0].Addr, via: fab.Inside, once: once, seen: map[wire.RequestID]bool{}}
+	h := httptest.NewServer(pool.Handler())
+	defer h.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer func() { _ = conn.Close() }()
+	defer cancel()
+	wg.Go(r.run)
+	wg.Go(func() { _ = pool.Run(ctx) })
+	wg.Go(func() { _ = fab.Run(ctx) })
+	l := &caller.Load{
+		Callers: []*caller.Caller{{Clock: time.Now, Rand: rand.New(rand.NewPCG(15, 16)), Service: fab.Services[0], Resend: 100 * time.Millisecond}},
+		Rand:    rand.New(rand.NewPCG(17, 18)), HTTP: http.DefaultClient, Records: []string{h.URL + "/records"},
+		Flows: 5, Keepalive: 20 * time.Millisecond, Stall: 10 * time.Second, Rate: 200, OnceRatio: 0.5, AnswerSize: 8000,
+		Timeout: 10 * time.Second, Duration: 300 * time.Millisecond, MaxInFlight: 200, Settle: 50 * time.Millisecond,
+	}
+	rep, err := l.Run(ctx)
+	assert.NilError(t, err)
+	return rep
+}
+
+// Guards against a load tool that loses answers or flows on a fabric that
+// repeats and reorders packets.
+func TestLoad(t *testing.T) {
+	rep := runLoad(t, true)
+	assert.Equal(t, rep.Failed, 0, "%v", rep.Failures)
+	assert.Assert(t, rep.Outcomes["done"] > 0)
+	assert.Equal(t, len(rep.Reasons), 0, "%v", rep.Reasons)
+	assert.Equal(t, rep.Flows, uint64(5))
+	assert.Equal(t, len(rep.Broken), 0, "%v", rep.Broken)
+	assert.Assert(t, rep.Echoed > 0)
+	b, err := json.Marshal(rep)
+	assert.NilError(t, err)
+	var back caller.Report
+	assert.NilError(t, json.Unmarshal(b, &back))
+	assert.Equal(t, back.Outcomes["done"], rep.Outcomes["done"])
+}
+
+// Guards against a load tool that does not see requests run twice.
+func TestLoadFindsSecondRun(t *testing.T) {
+	assert.Assert(t, runLoad(t, false).Failed > 0)
+}
--- /dev/null
+++ b/emul/cmd/ebonyemu/load.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"ebonypaddle/emul/caller"
+)
+
+func callerCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "caller",
+		Usage: "loads a service and checks what its servers recorded",
+		Flags: []cli.Flag{
+			seedFlag(),
+			&cli.StringFlag{Name: "service", Usage: "UDP service address", Required: true},
+			&cli.StringSliceFlag{Name: "records", Usage: "URL of servers' /records"},
+			&cli.IntFlag{Name: "callers", Usage: "sockets", Value: 1},
+			&cli.IntFlag{Name: "flows", Usage: "flows of each caller", Value: 10},
+			&cli.DurationFlag{Name: "keepalive", Value: 500 * time.Millisecond},
+			&cli.DurationFlag{Name: "stall", Usage: "silence after which a flow is broken", Value: 5 * time.Second},
+			&cli.FloatFlag{Name: "rate", Usage: "requests a second", Value: 10},
+			&cli.FloatFlag{Name: "once", Usage: "part of the requests that may run once", Value: 0.5},
+			&cli.IntFlag{Name: "answer", Usage: "largest answer in bytes", Value: 4096},
+			&cli.DurationFlag{Name: "timeout", Value: 5 * time.Second},
+			&cli.DurationFlag{Name: "resend", Value: 250 * time.Millisecond},
+			&cli.DurationFlag{Name: "duration", Value: 10 * time.Second},
+			&cli.DurationFlag{Name: "settle", Usage: "wait before records are read", Value: time.Second},
+			&cli.IntFlag{Name: "in-flight", Usage: "most requests at once", Value: 1000},
+			&cli.StringFlag{Name: "output", Usage: "text or json", Value: "text"},
+		},
+		Action: runCaller,
+	}
+}
+
+func runCaller(ctx context.Context, cmd *cli.Command) error {
+	service, err := netip.ParseAddrPort(cmd.String("service"))
+	if err != nil {
+		return fmt.Errorf("service: %w", err)
+	}
+	l := &caller.Load{
+		Rand: newRand(cmd, 0), HTTP: http.DefaultClient, Records: cmd.StringSlice("records"),
+		Flows: cmd.Int("flows"), Keepalive: cmd.Duration("keepalive"), Stall: cmd.Duration("stall"),
+		Rate: cmd.Float("rate"), OnceRatio: cmd.Float("once"), AnswerSize: cmd.Int("answer"),
+		Timeout: cmd.Duration("timeout"), Duration: cmd.Duration("duration"), Settle: cmd.Duration("settle"),
+		MaxInFlight: cmd.Int("in-flight"),
+	}
+	for i := range max(cmd.Int("callers"), 1) {
+		l.Callers = append(l.Callers, &caller.Caller{
+			Clock: time.Now, Rand: newRand(cmd, uint64(i)+1), Service: service, Resend: cmd.Duration("resend"),
+		})
+	}
+	rep, err := l.Run(ctx)
+	if rep != nil {
+		if outErr := write(cmd.String("output"), rep); err == nil {
+			err = outErr
+		}
+	}
+	if err == nil && rep.Failed > 0 {
+		err = fmt.Errorf("%d checks failed", rep.Failed)
+	}
+	return err
+}
+
+func write(format string, rep *caller.Report) error {
+	if format == "json" {
+		return json.NewEncoder(os.Stdout).Encode(rep)
+	}
+	return rep.WriteText(os.Stdout)
+}
--- a/emul/cmd/ebonyemu/main.go
+++ b/emul/cmd/ebonyemu/main.go
@@ -1,4 +1,95 @@
-// Command ebonyemu is under construction.
+// Command ebonyemu runs the stand-ins for the platform and the load tool.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	if err := run(); err != nil {
+		slog.Error("ebonyemu", "err", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	app := &cli.Command{
+		Name:     "ebonyemu",
+		Usage:    "stand-ins for the platform of ebonypaddle, and a load tool",
+		Commands: []*cli.Command{objectCommand(), fabricCommand(), serverCommand(), callerCommand()},
+	}
+	return app.Run(ctx, os.Args)
+}
+
+// seedFlag makes runs repeatable.
+func seedFlag() cli.Flag {
+	return &cli.Uint64Flag{Name: "seed", Usage: "seed of all randomness", Value: 1}
+}
+
+func newRand(cmd *cli.Command, stream uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(cmd.Uint64("seed"), stream))
+}
+
+func addrs(list []string) ([]netip.AddrPort, error) {
+	var out []netip.AddrPort
+	for _, s := range list {
+		a, err := netip.ParseAddrPort(s)
+		if err != nil {
+			return nil, fmt.Errorf("address %q: %w", s, err)
+		}
+		out = append(out, a)
+	}
+	return out, nil
+}
+
+// serveHTTP serves until ctx ends.
+func serveHTTP(ctx context.Context, addr string, h http.Handler) error {
+	srv := &http.Server{Addr: addr, Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	if err := srv.ListenAndServe(); ctx.Err() == nil {
+		return fmt.Errorf("HTTP on %s: %w", addr, err)
+	}
+	return nil
+}
+
+// together runs both until one fails or ctx ends.
+func together(ctx context.Context, a, b func(context.Context) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	errs := make(chan error, 1)
+	go func() {
+		defer cancel()
+		errs <- a(ctx)
+	}()
+	err := b(ctx)
+	cancel()
+	if first := <-errs; first != nil {
+		return first
+	}
+	return err
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/emul/cmd/ebonyemu/stands.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"ebonypaddle/emul/fabric"
+	"ebonypaddle/emul/object"
+	"ebonypaddle/emul/server"
+	"ebonypaddle/pkg/store"
+)
+
+func objectCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "object-api",
+		Usage: "object API with instance list; faults at POST /fault, counts at GET /calls",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:7400"},
+			&cli.StringFlag{Name: "seed-file", Usage: "JSON list of objects to start with"},
+			&cli.DurationFlag{Name: "instance-lag", Usage: "delay of the instance list"},
+			&cli.IntFlag{Name: "history", Usage: "events kept for watches", Value: 10_000},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			s := &object.Server{Clock: time.Now, InstanceLag: cmd.Duration("instance-lag"), History: cmd.Int("history")}
+			if name := cmd.String("seed-file"); name != "" {
+				b, err := os.ReadFile(name)
+				if err != nil {
+					return fmt.Errorf("seed file: %w", err)
+				}
+				if err := s.Load(b); err != nil {
+					return err
+				}
+			}
+			return serveHTTP(ctx, cmd.String("listen"), s.Handler())
+		},
+	}
+}
+
+func fabricCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "fabric",
+		Usage: "sprays callers' packets over the instances; faults at POST /fault",
+		Flags: []cli.Flag{
+			seedFlag(),
+			&cli.StringSliceFlag{Name: "service", Usage: "UDP service address", Required: true},
+			&cli.StringFlag{Name: "inside", Usage: "UDP address for instances", Value: "127.0.0.1:7500"},
+			&cli.StringFlag{Name: "http", Value: "127.0.0.1:7501"},
+			&cli.StringSliceFlag{Name: "instance", Usage: "fixed UDP address of an instance"},
+			&cli.StringSliceFlag{Name: "object-api", Usage: "URL of the object API, for its instance list"},
+			&cli.DurationFlag{Name: "every", Usage: "interval of reading the instance list", Value: time.Second},
+		},
+		Action: runFabric,
+	}
+}
+
+func runFabric(ctx context.Context, cmd *cli.Command) error {
+	services, err := addrs(cmd.StringSlice("service"))
+	if err != nil {
+		return err
+	}
+	inside, err := netip.ParseAddrPort(cmd.String("inside"))
+	if err != nil {
+		return fmt.Errorf("inside: %w", err)
+	}
+	fixed, err := addrs(cmd.StringSlice("instance"))
+	if err != nil {
+		return err
+	}
+	f := &fabric.Fabric{
+		Clock: time.Now, Rand: newRand(cmd, 1), Services: services, Inside: inside, Every: cmd.Duration("every"),
+		List: func(context.Context) ([]netip.AddrPort, error) { return fixed, nil },
+	}
+	if urls := cmd.StringSlice("object-api"); len(urls) > 0 {
+		c := &store.Client{
+			Addrs: urls, HTTP: http.DefaultClient, Rand: newRand(cmd, 2), Sleep: sleep,
+			Timeout: time.Second, Tries: 2, Backoff: 100 * time.Millisecond, MaxBackoff: time.Second,
+		}
+		f.List = func(ctx context.Context) ([]netip.AddrPort, error) { return object.Live(ctx, c) }
+	}
+	if err := f.Listen(); err != nil {
+		return err
+	}
+	return together(ctx, f.Run, func(ctx context.Context) error { return serveHTTP(ctx, cmd.String("http"), f.Handler()) })
+}
+
+func serverCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "server",
+		Usage: "backend servers; records at GET /records, commands at POST /command",
+		Flags: []cli.Flag{
+			seedFlag(),
+			&cli.StringFlag{Name: "config", Usage: "JSON list of servers", Required: true},
+			&cli.StringFlag{Name: "http", Value: "127.0.0.1:7600"},
+		},
+		Action: runServers,
+	}
+}
+
+func runServers(ctx context.Context, cmd *cli.Command) error {
+	b, err := os.ReadFile(cmd.String("config"))
+	if err != nil {
+		return fmt.Errorf("servers: %w", err)
+	}
+	var list []server.Config
+	if err := json.Unmarshal(b, &list); err != nil {
+		return fmt.Errorf("servers: %w", err)
+	}
+	p := &server.Pool{Clock: time.Now}
+	for i := range list {
+		if err := list[i].Check(); err != nil {
+			return err
+		}
+		p.Hosts = append(p.Hosts, &server.Host{Config: list[i], Rand: newRand(cmd, uint64(i))})
+	}
+	if err := p.Listen(); err != nil {
+		return err
+	}
+	return together(ctx, p.Run, func(ctx context.Context) error { return serveHTTP(ctx, cmd.String("http"), p.Handler()) })
+}
