server: table of backend servers with lifecycle, identity and stages

Cause: an instance needs its own view of each server, since health and load endpoints lag or mislead. Change: rows in a table with one shared state machine, identity that expires after identityTTL, detection of a silent fall into cold start (boot identifier, shed as cold, latency step of 4 over 3 answers), jittered probes, and stage updates for peers ordered by process, falls and stage. Ruled out: one looplab/fsm machine per server, because each holds its own maps and locks; a suspect server that returns cold, because timeouts under overload would turn a whole fleet cold. Conclusion: a moved address loses its confirmation with the first frame of the other server, or after the TTL.

--- /dev/null
+++ b/pkg/server/table.go
@@ -0,0 +1,186 @@
+// Package server keeps the table of backend servers as one instance sees
+// them: lifecycle, confirmed identity and stage of the cold start. It is not
+// safe for concurrent use.
+package server
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"ebonypaddle/pkg/conf"
+	"ebonypaddle/pkg/wire"
+)
+
+// Table holds the backend servers that the settings list.
+type Table struct {
+	// Rand spreads the probes over time.
+	Rand *rand.Rand
+
+	// Falls counts detected falls into cold start, Mismatches frames whose
+	// identity was not the expected one, Suspected servers that stopped
+	// answering, StaleUpdates peers' updates that were not used.
+	Falls, Mismatches, Suspected, StaleUpdates uint64
+
+	machine machine
+	rows    map[conf.ServerID]*row
+	addrs   map[netip.AddrPort]*row
+	order   []*row
+	changed []conf.ServerID
+	next    int
+}
+
+type row struct {
+	id         conf.ServerID
+	service    conf.ServiceID
+	generation uint32
+	addr       netip.AddrPort
+	limits     Limits
+	state      string
+
+	boot      uint64
+	falls     uint32
+	stage     int
+	since     time.Time // start of the stage
+	answers   int       // successful answers in the stage
+	confirmed time.Time
+	timeouts  int
+	probeAt   time.Time
+	latency   time.Duration // moving average of answers
+	steps     int           // answers in a row at four times the average
+	queued    bool          // listed in Table.changed
+	marked    bool          // operators mark the server or its domain
+}
+
+// Apply takes over the server records of the settings. Servers that return
+// from leaving, or come back under a new generation or address, start cold.
+func (t *Table) Apply(now time.Time, s *conf.Snapshot) {
+	if t.rows == nil {
+		t.machine = newMachine()
+		t.rows = map[conf.ServerID]*row{}
+	}
+	seen := make(map[conf.ServerID]bool, len(s.Servers))
+	for _, rec := range s.Servers {
+		if rec.Mark == conf.MarkRemoved {
+			continue
+		}
+		seen[rec.ID] = true
+		t.applyRecord(now, s, rec)
+	}
+	for id, r := range t.rows {
+		if !seen[id] {
+			t.machine.fire(r, eventRemove)
+			delete(t.rows, id)
+		}
+	}
+	t.index()
+}
+
+func (t *Table) applyRecord(now time.Time, s *conf.Snapshot, rec conf.Server) {
+	var service conf.ServiceID
+	if n := s.Nodes[rec.Service]; n.Values.ServiceID != nil {
+		service = *n.Values.ServiceID
+	}
+	r := t.rows[rec.ID]
+	if r == nil || r.generation != rec.Generation || r.addr != rec.Addr || r.service != service {
+		r = &row{id: rec.ID, state: StateCold, since: now, probeAt: now, service: service, generation: rec.Generation, addr: rec.Addr}
+		t.rows[rec.ID] = r
+	}
+	r.limits = limitsFor(s, rec.Service+"/"+rec.Domain)
+	was := r.marked
+	r.marked = rec.Mark == conf.MarkLeaving || domainOut(s, rec)
+	switch {
+	case r.marked:
+		t.machine.fire(r, eventLeave)
+	case was && t.machine.fire(r, eventReturn):
+		t.reset(now, r)
+	}
+}
+
+// domainOut reports whether the failure domain of a server is marked out. Its
+// servers start cold when the domain returns.
+func domainOut(s *conf.Snapshot, rec conf.Server) bool {
+	for _, d := range s.Domains {
+		if d.Name == rec.Domain && d.Mark == conf.MarkOut && halfOf(rec.Service) == d.Half {
+			return true
+		}
+	}
+	return false
+}
+
+// halfOf returns the first element of a node path.
+func halfOf(path string) string {
+	for i := 1; i < len(path); i++ {
+		if path[i] == '/' {
+			return path[1:i]
+		}
+	}
+	return ""
+}
+
+// index rebuilds the probe order and the index by address.
+func (t *Table) index() {
+	t.addrs = make(map[netip.AddrPort]*row, len(t.rows))
+	t.order = t.order[:0]
+	for _, r := range t.rows {
+		t.addrs[r.addr] = r
+		t.order = append(t.order, r)
+	}
+	slices.SortFunc(t.order, func(a, b *row) int { return int(int64(a.id) - int64(b.id)) })
+}
+
+func (t *Table) reset(now time.Time, r *row) {
+	r.stage, r.answers, r.steps, r.since = 0, 0, 0, now
+	r.latency = 0
+}
+
+// Confirmed returns the time until which the identity of a server is
+// confirmed, and whether that time has not passed. No frame may reach the
+// server's address later without a new confirmation.
+func (t *Table) Confirmed(now time.Time, id conf.ServerID) (time.Time, bool) {
+	r := t.rows[id]
+	if r == nil || r.confirmed.IsZero() {
+		return time.Time{}, false
+	}
+	until := r.confirmed.Add(r.limits.IdentityTTL)
+	return until, now.Before(until)
+}
+
+// Usable returns ReasonNone when the server may get new work, otherwise why
+// it may not, and until when its identity is confirmed.
+func (t *Table) Usable(now time.Time, id conf.ServerID) (time.Time, wire.Reason) {
+	r := t.rows[id]
+	if r == nil {
+		return time.Time{}, wire.ReasonServerGone
+	}
+	switch r.state {
+	case StateLeaving:
+		return time.Time{}, wire.ReasonServerLeft
+	case StateSuspect, StateGone:
+		return time.Time{}, wire.ReasonServerGone
+	}
+	until, ok := t.Confirmed(now, id)
+	if !ok {
+		return time.Time{}, wire.ReasonUnconfirmed
+	}
+	return until, wire.ReasonNone
+}
+
+// Stage returns the number of requests that all instances together may have
+// in progress on the server, its stage, and whether it is warm.
+func (t *Table) Stage(id conf.ServerID) (total, stage int, warm bool) {
+	r := t.rows[id]
+	if r == nil {
+		return 0, 0, false
+	}
+	return r.limits.total(r.stage), r.stage, r.state == StateWarm
+}
+
+// State returns the lifecycle state of a server.
+func (t *Table) State(id conf.ServerID) string {
+	if r := t.rows[id]; r != nil {
+		return r.state
+	}
+	return StateGone
+}
--- /dev/null
+++ b/pkg/server/table_test.go
@@ -0,0 +1,181 @@
+package server
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"ebonypaddle/pkg/conf"
+	"ebonypaddle/pkg/wire"
+)
+
+var epoch0 = time.Unix(1_000_000, 0)
+
+func snapshot(n int) *conf.Snapshot {
+	service := conf.ServiceID(7)
+	s := &conf.Snapshot{
+		Nodes:   map[string]conf.Node{"/k/order": {Values: conf.Values{ServiceID: &service}}},
+		Domains: map[string]conf.Domain{"a": {Name: "a", Half: "k", Mark: conf.MarkIn}},
+		Servers: map[string]conf.Server{},
+	}
+	for i := range n {
+		id := conf.ServerID(i + 1)
+		s.Servers[fmt.Sprint(id)] = conf.Server{ID: id, Service: "/k/order", Domain: "a", Generation: 1, Mark: conf.MarkIn, Addr: addr(id)}
+	}
+	return s
+}
+
+func addr(id conf.ServerID) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(id >> 8), byte(id)}), 9000)
+}
+
+func newTable(n int) *Table {
+	t := &Table{Rand: rand.New(rand.NewPCG(1, 2))}
+	t.Apply(epoch0, snapshot(n))
+	return t
+}
+
+func frame(kind wire.Kind, boot uint64, flags uint8) *wire.Frame {
+	return &wire.Frame{Kind: kind, Service: 7, Server: 1, Generation: 1, Boot: boot, Flags: flags}
+}
+
+// warm answers every 200 ms until the server is warm, and returns the time.
+func warm(t *testing.T, tab *Table) time.Time {
+	now := epoch0
+	for range 100 {
+		now = now.Add(200 * time.Millisecond)
+		assert.Assert(t, tab.Heard(now, addr(1), frame(wire.KindAnswer, 5, 0), 10*time.Millisecond))
+	}
+	assert.Equal(t, tab.State(1), StateWarm)
+	return now
+}
+
+// Guards against missing a silent fall into cold start.
+func TestFallDetection(t *testing.T) {
+	for name, c := range map[string]struct {
+		boot    uint64
+		flags   uint8
+		latency time.Duration
+		frames  int
+		state   string
+	}{
+		"new boot":     {6, 0, 10 * time.Millisecond, 1, StateCold},
+		"shed cold":    {5, wire.FlagShed | wire.FlagCold, 0, 1, StateCold},
+		"latency step": {5, 0, 50 * time.Millisecond, 3, StateCold},
+		"two slow":     {5, 0, 50 * time.Millisecond, 2, StateWarm},
+		"plain shed":   {5, wire.FlagShed, 0, 5, StateWarm},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tab := newTable(1)
+			now := warm(t, tab)
+			for range c.frames {
+				tab.Heard(now, addr(1), frame(wire.KindAnswer, c.boot, c.flags), c.latency)
+			}
+			assert.Equal(t, tab.State(1), c.state)
+		})
+	}
+}
+
+// Guards against work for leaving, suspect, unknown and unconfirmed servers.
+func TestUsable(t *testing.T) {
+	tab := newTable(1)
+	usable := func(now time.Time, want wire.Reason) {
+		t.Helper()
+		_, got := tab.Usable(now, 1)
+		assert.Equal(t, got, want)
+	}
+	usable(epoch0, wire.ReasonUnconfirmed)
+	now := warm(t, tab)
+	usable(now, wire.ReasonNone)
+	usable(now.Add(2*time.Second), wire.ReasonUnconfirmed)
+	for range maxTimeouts {
+		tab.TimedOut(now, 1)
+	}
+	usable(now, wire.ReasonServerGone)
+	assert.Equal(t, len(tab.Probes(now, nil)), 1)
+	tab.Heard(now, addr(1), frame(wire.KindProbed, 5, 0), 0)
+	usable(now, wire.ReasonNone)
+	assert.Equal(t, tab.State(1), StateWarm)
+	s := snapshot(1)
+	rec := s.Servers["1"]
+	rec.Mark = conf.MarkLeaving
+	s.Servers["1"] = rec
+	tab.Apply(now, s)
+	tab.Heard(now, addr(1), frame(wire.KindAnswer, 5, 0), time.Millisecond)
+	usable(now, wire.ReasonServerLeft)
+	tab.Apply(now, snapshot(1))
+	assert.Equal(t, tab.State(1), StateCold)
+	tab.Apply(now, snapshot(0))
+	usable(now, wire.ReasonServerGone)
+}
+
+// Guards against packets for an address that serves another server by now,
+// on an instance that still has the old settings.
+func TestMovedAddress(t *testing.T) {
+	for name, change := range map[string]func(*wire.Frame){
+		"service":    func(f *wire.Frame) { f.Service = 8 },
+		"server":     func(f *wire.Frame) { f.Server = 2 },
+		"generation": func(f *wire.Frame) { f.Generation = 2 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			tab := newTable(1)
+			now := warm(t, tab)
+			f := frame(wire.KindProbed, 9, 0)
+			change(f)
+			assert.Assert(t, !tab.Heard(now, addr(1), f, 0))
+			_, ok := tab.Confirmed(now, 1)
+			assert.Assert(t, !ok)
+		})
+	}
+}
+
+// Guards against probes that are missing or come in bursts.
+func TestProbesSpread(t *testing.T) {
+	tab := newTable(500)
+	counts := []int{}
+	for i := range 60 {
+		counts = append(counts, len(tab.Probes(epoch0.Add(time.Duration(i)*50*time.Millisecond), nil)))
+	}
+	for i, n := range counts[30:] {
+		assert.Assert(t, n > 10 && n < 150, "tick %d: %d probes", i, n)
+	}
+}
+
+// Guards against peers that raise a stage with news of an earlier process or
+// from before a fall.
+func TestMerge(t *testing.T) {
+	now := epoch0.Add(10 * time.Second)
+	base := Update{Server: 1, Generation: 1, Boot: 5, Stage: 3, Heard: now.UnixMilli()}
+	for name, c := range map[string]struct {
+		falls  uint32
+		change func(*Update)
+		stage  int
+	}{
+		"raises":           {0, func(*Update) {}, 3},
+		"before a fall":    {1, func(*Update) {}, 0},
+		"earlier process":  {0, func(u *Update) { u.Boot, u.Heard = 4, now.Add(-time.Second).UnixMilli() }, 0},
+		"old":              {0, func(u *Update) { u.Heard = now.Add(-time.Minute).UnixMilli() }, 0},
+		"other generation": {0, func(u *Update) { u.Generation = 2 }, 0},
+		"later process":    {0, func(u *Update) { u.Boot, u.Stage, u.Heard = 6, 0, now.Add(time.Second).UnixMilli() }, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tab := newTable(1)
+			tab.Heard(now.Add(-time.Millisecond), addr(1), frame(wire.KindProbed, 5, 0), 0)
+			tab.rows[1].falls = c.falls
+			u := base
+			c.change(&u)
+			b, err := cbor.Marshal([]Update{u})
+			assert.NilError(t, err)
+			us, err := DecodeUpdates(b)
+			assert.NilError(t, err)
+			tab.Merge(now, us)
+			_, stage, _ := tab.Stage(1)
+			assert.Equal(t, stage, c.stage)
+		})
+	}
+}
