pick: place work by two choices with cold-start quotas

Cause: instances decide alone, and their views of members and stages differ. Change: every unit of a server's total belongs to one entry place per epoch. The turn of a unit does not depend on the total, so views of the stage that differ never add up to more than the higher one. Every second turn belongs to the server's own failure domain. The clock skew bound is kept on both sides of an epoch, because clocks within the bound of the median differ by twice the bound. Ruled out: rendezvous order per epoch, which lets a cut-off server wait without bound; dividing by live members.

--- /dev/null
+++ b/pkg/pick/picker.go
@@ -0,0 +1,146 @@
+// Package pick selects backend servers for new flows and requests. It is not
+// safe for concurrent use.
+package pick
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"ebonypaddle/pkg/conf"
+	"ebonypaddle/pkg/wire"
+)
+
+// Servers is what the picker needs to know of the table of servers.
+type Servers interface {
+	// Usable returns ReasonNone and the time until which the identity is
+	// confirmed when the server may get new work, otherwise why it may not.
+	Usable(now time.Time, id conf.ServerID) (time.Time, wire.Reason)
+	// Stage returns how many requests all instances together may have in
+	// progress, the stage of the cold start, and whether it is over.
+	Stage(id conf.ServerID) (total, stage int, warm bool)
+}
+
+// Picker places new flows and requests.
+type Picker struct {
+	// Entry is the name of this instance's entry place, Domain its failure
+	// domain.
+	Entry, Domain string
+	Servers       Servers
+	Rand          *rand.Rand
+
+	// Placed counts choices, Local those in the own failure domain, Cold
+	// those of servers below warm.
+	Placed, Local, Cold uint64
+
+	services map[conf.ServiceID]*service
+	rows     map[conf.ServerID]*row
+	seats    map[string][]seat
+	quiet    time.Time // nothing to cold servers before
+}
+
+// service holds the servers of one service by distance.
+type service struct{ own, other []*row }
+
+// row is what this instance knows of the load of one server.
+type row struct {
+	id         conf.ServerID
+	generation uint32
+	addr       netip.AddrPort
+	limits     limits
+	place      place
+	offset     uint64
+	out, local bool
+
+	inFlight int
+	latency  time.Duration
+	load     wire.Load
+	loadAt   time.Time
+
+	epoch    int64     // epoch of coldUsed and opened
+	coldUsed int       // units in use until the epoch ends
+	opened   int       // flows opened in the epoch
+	flowAt   time.Time // earliest time of the next flow while cold
+}
+
+// Apply takes over the servers and entry places of the settings.
+func (p *Picker) Apply(now time.Time, s *conf.Snapshot) {
+	p.applySeats(now, s)
+	old := p.rows
+	p.rows = make(map[conf.ServerID]*row, len(s.Servers))
+	p.services = map[conf.ServiceID]*service{}
+	places := map[string]place{}
+	for _, rec := range s.Servers {
+		n := s.Nodes[rec.Service]
+		if rec.Mark == conf.MarkRemoved || n.Values.ServiceID == nil {
+			continue
+		}
+		half := halfOf(rec.Service)
+		key := half + "/" + rec.Domain
+		if _, ok := places[key]; !ok {
+			places[key] = placeIn(p.seats[half], p.Entry, rec.Domain)
+		}
+		r := old[rec.ID]
+		if r == nil || r.generation != rec.Generation || r.addr != rec.Addr {
+			r = &row{id: rec.ID, generation: rec.Generation, addr: rec.Addr, offset: offsetOf(rec.ID)}
+		}
+		r.limits, r.place = limitsFor(s, rec.Service+"/"+rec.Domain), places[key]
+		r.local, r.out = rec.Domain == p.Domain, isOut(s, half, rec.Domain)
+		p.rows[rec.ID] = r
+		p.add(*n.Values.ServiceID, r)
+	}
+	for _, svc := range p.services {
+		slices.SortFunc(svc.own, byID)
+		slices.SortFunc(svc.other, byID)
+	}
+}
+
+func (p *Picker) applySeats(now time.Time, s *conf.Snapshot) {
+	seats := map[string][]seat{}
+	for _, d := range s.Domains {
+		if seats[d.Half] == nil {
+			seats[d.Half] = seatsOf(s, d.Half)
+		}
+	}
+	same := len(seats) == len(p.seats)
+	for half, list := range seats {
+		same = same && slices.Equal(list, p.seats[half])
+	}
+	if !same {
+		p.quiet = now.Add(settleTime)
+	}
+	p.seats = seats
+}
+
+func (p *Picker) add(id conf.ServiceID, r *row) {
+	svc := p.services[id]
+	if svc == nil {
+		svc = &service{}
+		p.services[id] = svc
+	}
+	if r.local {
+		svc.own = append(svc.own, r)
+	} else {
+		svc.other = append(svc.other, r)
+	}
+}
+
+func byID(a, b *row) int { return cmp.Compare(a.id, b.id) }
+
+// halfOf returns the first element of a node path.
+func halfOf(node string) string {
+	half, _, _ := strings.Cut(strings.TrimPrefix(node, "/"), "/")
+	return half
+}
+
+func isOut(s *conf.Snapshot, half, name string) bool {
+	for _, d := range s.Domains {
+		if d.Half == half && d.Name == name {
+			return d.Mark == conf.MarkOut
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/pick/place.go
@@ -0,0 +1,259 @@
+package pick
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"ebonypaddle/pkg/conf"
+	"ebonypaddle/pkg/wire"
+)
+
+// Ask describes new work.
+type Ask struct {
+	Service conf.ServiceID
+	// Flow asks for a server for a new flow instead of a request.
+	Flow bool
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+	// Tried are servers that must not be chosen again.
+	Tried []conf.ServerID
+	// CrossUntil is when this instance's freshness for other failure domains
+	// ends.
+	CrossUntil time.Time
+	// ColdUntil is until when this instance may send to cold servers: it is
+	// fresh, its clock is within the bound, and it hears peers at its own
+	// address, which shows that no other process has taken its place.
+	ColdUntil time.Time
+}
+
+// Choice is a server for one piece of work.
+type Choice struct {
+	Server     conf.ServerID
+	Generation uint32
+	Addr       netip.AddrPort
+	// Deadline is the deadline that the frame to the server must carry.
+	Deadline time.Time
+	Flow     bool
+	// Cold tells that the work counts against a cold server's quota.
+	Cold bool
+
+	epoch int64
+}
+
+// offer is a row that may take the work.
+type offer struct {
+	row      *row
+	deadline time.Time
+	wait     time.Duration
+	cold     bool
+	epoch    int64
+}
+
+// Place chooses a server. Without one it returns the reason: the most
+// specific of those that excluded the servers of the service.
+func (p *Picker) Place(now time.Time, ask *Ask) (Choice, wire.Reason) {
+	svc := p.services[ask.Service]
+	if svc == nil {
+		return Choice{}, wire.ReasonUnknownService
+	}
+	if !now.Before(ask.Deadline) {
+		return Choice{}, wire.ReasonDeadline
+	}
+	best, why := p.better(now, ask, svc.own)
+	if best.row == nil || best.wait > best.row.acceptable() {
+		if far, reason := p.better(now, ask, svc.other); far.row != nil {
+			if best.row == nil || far.wait < best.wait {
+				best = far
+			}
+		} else {
+			why = worse(why, reason)
+		}
+	}
+	if best.row == nil {
+		return Choice{}, why
+	}
+	if now.Add(best.wait).After(ask.Deadline) {
+		return Choice{}, wire.ReasonOverloaded
+	}
+	return p.take(now, ask, &best), wire.ReasonNone
+}
+
+// better returns the better of two random candidates.
+func (p *Picker) better(now time.Time, ask *Ask, rows []*row) (offer, wire.Reason) {
+	why := wire.ReasonNoServer
+	a, reason := p.draw(now, ask, rows, nil)
+	if a.row == nil {
+		return a, worse(why, reason)
+	}
+	if b, _ := p.draw(now, ask, rows, a.row); b.row != nil && b.wait < a.wait {
+		return b, wire.ReasonNone
+	}
+	return a, wire.ReasonNone
+}
+
+// maxScan bounds the candidates that one draw looks at.
+const maxScan = 32
+
+// draw returns the first candidate from a random position on.
+func (p *Picker) draw(now time.Time, ask *Ask, rows []*row, not *row) (offer, wire.Reason) {
+	why := wire.ReasonNoServer
+	if len(rows) == 0 {
+		return offer{}, why
+	}
+	i := p.Rand.IntN(len(rows))
+	for range min(len(rows), maxScan) {
+		r := rows[i]
+		if i++; i == len(rows) {
+			i = 0
+		}
+		if r == not || slices.Contains(ask.Tried, r.id) {
+			continue
+		}
+		o, reason := p.offer(now, ask, r)
+		if reason == wire.ReasonNone {
+			return o, reason
+		}
+		why = worse(why, reason)
+	}
+	return offer{}, why
+}
+
+// offer checks everything that forbids sending the work to a server.
+func (p *Picker) offer(now time.Time, ask *Ask, r *row) (offer, wire.Reason) {
+	o := offer{row: r, deadline: ask.Deadline}
+	if r.out {
+		return o, wire.ReasonDomainOut
+	}
+	if !r.local {
+		if !now.Before(ask.CrossUntil) {
+			return o, wire.ReasonNotFresh
+		}
+		o.limit(ask.CrossUntil)
+	}
+	until, reason := p.Servers.Usable(now, r.id)
+	if reason != wire.ReasonNone {
+		return o, reason
+	}
+	o.limit(until)
+	total, stage, warm := p.Servers.Stage(r.id)
+	if !warm {
+		return p.offerCold(now, ask, o, total, stage)
+	}
+	o.limit(now.Add(r.limits.attempt))
+	return o.offerWarm(now, ask)
+}
+
+func (o offer) offerWarm(now time.Time, ask *Ask) (offer, wire.Reason) {
+	r := o.row
+	if ask.Flow {
+		epoch, _, _ := r.limits.window(now)
+		r.roll(epoch)
+		o.epoch = epoch
+		if r.opened >= r.flowShare() {
+			return o, wire.ReasonOverloaded
+		}
+	} else if r.inFlight >= r.limits.warmLimit() {
+		return o, wire.ReasonOverloaded
+	}
+	o.wait = r.wait(now)
+	return o, wire.ReasonNone
+}
+
+// offerCold applies the quota of section 4.5 of the design. The deadline of
+// the work is the end of the epoch, when another place takes its turn.
+func (p *Picker) offerCold(now time.Time, ask *Ask, o offer, total, stage int) (offer, wire.Reason) {
+	r := o.row
+	epoch, end, ok := r.limits.window(now)
+	if !ok || now.Before(p.quiet) || !now.Before(ask.ColdUntil) || r.place.index < 0 {
+		return o, wire.ReasonColdLimit
+	}
+	r.roll(epoch)
+	o.cold, o.epoch = true, epoch
+	o.limit(end)
+	o.limit(ask.ColdUntil)
+	if ask.Flow {
+		if !r.place.turn(r.offset, epoch, 0) || now.Before(r.flowAt) || r.opened >= r.flowShare() {
+			return o, wire.ReasonColdLimit
+		}
+		return o, wire.ReasonNone
+	}
+	units := r.place.units(r.offset, epoch, total)
+	if max(r.coldUsed, r.inFlight) >= units || o.deadline.Sub(now) < 2*r.latency {
+		return o, wire.ReasonColdLimit
+	}
+	return o, wire.ReasonNone
+}
+
+func (o *offer) limit(t time.Time) {
+	if t.Before(o.deadline) {
+		o.deadline = t
+	}
+}
+
+func (r *row) roll(epoch int64) {
+	if r.epoch != epoch {
+		r.epoch, r.coldUsed, r.opened = epoch, 0, 0
+	}
+}
+
+// flowShare is this place's part of the connections that the server reports
+// as free, per epoch. Closes may pass through any instance, so an instance
+// cannot count the open flows of a server itself.
+func (r *row) flowShare() int {
+	places := r.place.ownCount + r.place.otherCount
+	if places == 0 || r.place.index < 0 {
+		return 0
+	}
+	free := max(r.limits.connections-int(r.load.Flows), 0)
+	share := free / places
+	if int((uint64(r.epoch)+r.offset)%uint64(places)) == r.place.flat() && free%places > 0 {
+		share += free % places
+	}
+	return share
+}
+
+// flat numbers the place among all places of the half.
+func (q *place) flat() int {
+	if q.own {
+		return q.index
+	}
+	return q.ownCount + q.index
+}
+
+func (p *Picker) take(now time.Time, ask *Ask, o *offer) Choice {
+	r := o.row
+	p.Placed++
+	if r.local {
+		p.Local++
+	}
+	if o.cold {
+		p.Cold++
+	}
+	if ask.Flow {
+		r.opened++
+		_, stage, _ := p.Servers.Stage(r.id)
+		r.flowAt = now.Add(time.Second / time.Duration(r.limits.coldFlows<<min(stage, 8)))
+	} else {
+		r.inFlight++
+		if o.cold {
+			r.coldUsed++
+		}
+	}
+	return Choice{Server: r.id, Generation: r.generation, Addr: r.addr, Deadline: o.deadline, Flow: ask.Flow, Cold: o.cold, epoch: o.epoch}
+}
+
+// worse returns the more specific of two reasons: one that passes by itself
+// outweighs one that needs a change.
+func worse(a, b wire.Reason) wire.Reason {
+	if rank(b) > rank(a) {
+		return b
+	}
+	return a
+}
+
+func rank(r wire.Reason) int {
+	order := [...]wire.Reason{wire.ReasonNoServer, wire.ReasonDomainOut, wire.ReasonServerLeft, wire.ReasonServerGone,
+		wire.ReasonUnconfirmed, wire.ReasonNotFresh, wire.ReasonColdLimit, wire.ReasonOverloaded}
+	return slices.Index(order[:], r)
+}
