pick: measure load balance against the baselines

Cause: the design's formula for the expected wait was not measured. Change: a seeded simulation in virtual time of 8 instances of differing size and 14 servers whose speeds differ up to 8 times, with a queue of 4, load reports 300 ms old and cheap sheds; no change of the selection, but a deadline that has passed is now refused in one place for flows and requests. Ruled out: nothing yet.

--- a/pkg/pick/place.go
+++ b/pkg/pick/place.go
@@ -165,13 +165,13 @@
 func (p *Picker) offerCold(now time.Time, ask *Ask, o offer, total, stage int) (offer, wire.Reason) {
 	r := o.row
 	epoch, end, ok := r.limits.window(now)
-	if !ok || now.Before(p.quiet) || !now.Before(ask.ColdUntil) || r.place.index < 0 {
+	o.limit(end)
+	o.limit(ask.ColdUntil)
+	if !ok || now.Before(p.quiet) || r.place.index < 0 || o.deadline.Sub(now) <= 2*r.latency {
 		return o, wire.ReasonColdLimit
 	}
 	r.roll(epoch)
 	o.cold, o.epoch = true, epoch
-	o.limit(end)
-	o.limit(ask.ColdUntil)
 	if ask.Flow {
 		if !r.place.turn(r.offset, epoch, 0) || now.Before(r.flowAt) || r.opened >= r.flowShare() {
 			return o, wire.ReasonColdLimit
@@ -179,7 +179,7 @@
 		return o, wire.ReasonNone
 	}
 	units := r.place.units(r.offset, epoch, total)
-	if max(r.coldUsed, r.inFlight) >= units || o.deadline.Sub(now) < 2*r.latency {
+	if max(r.coldUsed, r.inFlight) >= units {
 		return o, wire.ReasonColdLimit
 	}
 	return o, wire.ReasonNone
--- /dev/null
+++ b/pkg/pick/sim_test.go
@@ -0,0 +1,271 @@
+package pick
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"ebonypaddle/pkg/conf"
+	"ebonypaddle/pkg/retry"
+	"ebonypaddle/pkg/server"
+	"ebonypaddle/pkg/wire"
+)
+
+// event is something due at a virtual time.
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any     { x := (*e)[len(*e)-1]; *e = (*e)[:len(*e)-1]; return x }
+
+// backend is a server with 2 slots, a queue of 4 and reports 300 ms old.
+type backend struct {
+	service  time.Duration
+	addr     netip.AddrPort
+	busy     int
+	queue    []func()
+	useful   time.Duration // time in slots for answers in time
+	boot     uint64
+	coldDone int // answers still to give before it is warm again
+	peakCold int // most in progress while every instance knows that it is cold
+	history  []int
+}
+
+// balancer is one instance.
+type balancer struct {
+	Picker
+	table  *server.Table
+	budget retry.Budget
+	turn   int
+	flying []int
+}
+
+type sim struct {
+	r         *rand.Rand
+	policy    string
+	queue     events
+	now       time.Duration
+	seq       int
+	backends  []*backend
+	instances []*balancer
+	requests  int
+	good      int
+	refused   int
+	latencies []time.Duration
+}
+
+const (
+	tries     = 3
+	callerFor = time.Second
+	hop       = 500 * time.Microsecond
+	simFor    = 12 * time.Second
+	simWarmup = 4 * time.Second
+)
+
+func newSim(policy string, seed uint64) *sim {
+	s := &sim{policy: policy, r: rand.New(rand.NewPCG(seed, 9))}
+	cfg := settings(14)
+	for i := range 14 {
+		speed := []int{1, 2, 4, 8}[(i*5+i/4)%4]
+		s.backends = append(s.backends, &backend{service: time.Duration(speed) * 10 * time.Millisecond, boot: 1, addr: cfg.Servers[fmt.Sprint(i)].Addr})
+	}
+	for i := range 8 {
+		b := &balancer{table: &server.Table{Rand: s.r}, budget: retry.Budget{Ratio: 0.1, Burst: 10, Window: 10 * time.Second}, flying: make([]int, 14)}
+		b.Entry, b.Domain, b.Rand, b.Servers = fmt.Sprintf("%c%d", 'a'+i/2, i%2), string(rune('a'+i/2)), s.r, b.table
+		b.table.Apply(s.clock(), cfg)
+		b.Apply(s.clock(), cfg)
+		s.instances = append(s.instances, b)
+		for id := range 14 {
+			b.table.Merge(s.clock(), []server.Update{{Server: conf.ServerID(id + 1), Generation: 1, Boot: 1, Stage: 3, Heard: s.clock().UnixMilli()}})
+		}
+	}
+	s.after(0, s.tick)
+	return s
+}
+
+func (s *sim) clock() time.Time { return begin.Add(s.now) }
+
+func (s *sim) after(d time.Duration, do func()) {
+	s.seq++
+	heap.Push(&s.queue, event{s.now + d, s.seq, do})
+}
+
+func (s *sim) run(until time.Duration) {
+	for len(s.queue) > 0 && s.queue[0].at < until {
+		e := heap.Pop(&s.queue).(event)
+		s.now = e.at
+		e.do()
+	}
+}
+
+// tick answers probes and records the loads that reports show 300 ms later.
+func (s *sim) tick() {
+	for _, b := range s.backends {
+		b.history = append(b.history, b.busy+len(b.queue))
+	}
+	for _, b := range s.instances {
+		for _, p := range b.table.Probes(s.clock(), nil) {
+			s.heard(b, int(p.Server)-1, wire.KindProbed, 0, 0)
+		}
+	}
+	s.after(100*time.Millisecond, s.tick)
+}
+
+// heard hands a frame of server id to an instance and spreads its news.
+func (s *sim) heard(b *balancer, id int, kind wire.Kind, flags uint8, latency time.Duration) {
+	be := s.backends[id]
+	f := wire.Frame{Kind: kind, Service: 7, Server: conf.ServerID(id + 1), Generation: 1, Boot: be.boot, Flags: flags}
+	f.Load.InFlight = uint16(be.history[max(len(be.history)-4, 0)])
+	b.table.Heard(s.clock(), be.addr, &f, latency)
+	b.Reported(s.clock(), f.Server, f.Load)
+	if b.table.Urgent() {
+		news := b.table.Updates(nil)
+		for _, other := range s.instances {
+			s.after(2*time.Millisecond, func() { other.table.Merge(s.clock(), news) })
+		}
+	}
+}
+
+// load offers requests at a multiple of the servers' capacity. Instances get
+// shares of 1 to 4.
+func (s *sim) load(rate float64) {
+	perSecond := 0.0
+	for _, b := range s.backends {
+		perSecond += 2 / b.service.Seconds()
+	}
+	var arrive func()
+	arrive = func() {
+		b := s.instances[[]int{0, 1, 2, 2, 3, 3, 4, 4, 4, 5, 5, 5, 6, 6, 6, 6, 7, 7, 7, 7}[s.r.IntN(20)]]
+		if s.now > simWarmup {
+			s.requests++
+		}
+		b.budget.Earn(s.clock())
+		s.try(b, &request{start: s.now, ask: Ask{Service: 7, Deadline: s.clock().Add(callerFor)}})
+		s.after(time.Duration(s.r.ExpFloat64()/(perSecond*rate)*float64(time.Second)), arrive)
+	}
+	arrive()
+}
+
+type request struct {
+	start time.Duration
+	ask   Ask
+}
+
+func (s *sim) try(b *balancer, q *request) {
+	q.ask.CrossUntil, q.ask.ColdUntil = s.clock().Add(fresh), s.clock().Add(fresh)
+	c, reason := s.choose(b, q)
+	if reason != wire.ReasonNone {
+		if s.now > simWarmup {
+			s.refused++
+		}
+		return
+	}
+	id, sent, over := int(c.Server)-1, s.now, false
+	b.flying[id]++
+	end := func(o Outcome) {
+		if over {
+			return
+		}
+		over = true
+		b.flying[id]--
+		b.Finished(s.clock(), c, Result{Outcome: o, Latency: s.now - sent})
+		if o == Done {
+			s.heard(b, id, wire.KindAnswer, 0, s.now-sent)
+			s.finish(q)
+			return
+		}
+		if o == Shed {
+			s.heard(b, id, wire.KindRefusal, wire.FlagShed, 0)
+		} else {
+			b.table.TimedOut(s.clock(), c.Server)
+		}
+		q.ask.Tried = append(q.ask.Tried, c.Server)
+		if len(q.ask.Tried) < tries && b.budget.Spend(s.clock()) {
+			s.try(b, q)
+		}
+	}
+	s.after(hop, func() { s.serve(s.backends[id], c.Deadline, end) })
+	s.after(c.Deadline.Sub(s.clock())+2*hop, func() { end(TimedOut) })
+}
+
+func (s *sim) finish(q *request) {
+	if q.start > simWarmup {
+		s.good++
+		s.latencies = append(s.latencies, s.now-q.start)
+	}
+}
+
+// serve queues, sheds or runs one request; work ends at its deadline.
+func (s *sim) serve(be *backend, deadline time.Time, end func(Outcome)) {
+	run := func() {
+		d := time.Duration(float64(be.service) * (0.5 + s.r.Float64()))
+		if be.coldDone > 0 {
+			d *= 4
+		}
+		be.busy++
+		left := deadline.Sub(s.clock())
+		s.after(max(min(d, left), 0), func() {
+			be.busy--
+			if d <= left {
+				be.coldDone = max(be.coldDone-1, 0)
+				if s.now > simWarmup {
+					be.useful += d
+				}
+				s.after(hop, func() { end(Done) })
+			}
+			if len(be.queue) > 0 && be.busy < 2 {
+				next := be.queue[0]
+				be.queue = be.queue[1:]
+				next()
+			}
+		})
+	}
+	switch {
+	case be.busy < 2:
+		run()
+	case len(be.queue) < 4:
+		be.queue = append(be.queue, run)
+	default:
+		s.after(hop, func() { end(Shed) })
+	}
+	if be.coldDone > 0 {
+		be.peakCold = max(be.peakCold, be.busy+len(be.queue))
+	}
+}
+
+// choose applies the policy under test: ours or a baseline.
+func (s *sim) choose(b *balancer, q *request) (Choice, wire.Reason) {
+	if s.policy == "picker" {
+		return b.Place(s.clock(), &q.ask)
+	}
+	best := -1
+	for i, n := range s.r.Perm(14) {
+		if s.policy == "roundRobin" {
+			n = (b.turn + 1 + i) % 14
+		}
+		if slices.Contains(q.ask.Tried, conf.ServerID(n+1)) {
+			continue
+		}
+		if best < 0 || s.policy == "leastInFlight" && b.flying[n] < b.flying[best] {
+			best = n
+		}
+	}
+	b.turn = best
+	deadline := s.clock().Add(500 * time.Millisecond)
+	if q.ask.Deadline.Before(deadline) {
+		deadline = q.ask.Deadline
+	}
+	return Choice{Server: conf.ServerID(best + 1), Generation: 1, Deadline: deadline}, wire.ReasonNone
+}
