--- a/pkg/conf/duration.go
+++ b/pkg/conf/duration.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// String writes the duration with its unit.
+func (d Duration) String() string { return time.Duration(d).String() }
+
 // MarshalJSON writes the duration as a string with a unit.
 func (d Duration) MarshalJSON() ([]byte, error) {
 	return json.Marshal(time.Duration(d).String())
--- a/pkg/conf/model.go
+++ b/pkg/conf/model.go
@@ -35,6 +35,9 @@
 	// Entries are the places at which instances may run. The number of
 	// places of a half bounds what all its instances send together.
 	Entries []Entry `json:"entries"`
+	// Edit is the random identifier of the edit that wrote the record. A
+	// client whose answer was lost finds its own edit by it.
+	Edit string `json:"edit,omitempty"`
 }
 
 // Entry is a place for one instance.
@@ -62,8 +65,12 @@
 	Generation uint32 `json:"generation"`
 	Mark       Mark   `json:"mark"`
 	// Since is when the mark was set. The quarantine of a removed server's
-	// address counts from it.
+	// address counts from it. A server in service at an address that another
+	// service's removed server still records needs it too.
 	Since time.Time `json:"since,omitzero"`
+	// Edit is the random identifier of the edit that wrote the record. A
+	// client whose answer was lost finds its own edit by it.
+	Edit string `json:"edit,omitempty"`
 }
 
 // Key seals and opens tokens.
@@ -73,6 +80,9 @@
 	// SealFrom is when instances begin to seal with this key. Every instance
 	// can open tokens under it before.
 	SealFrom time.Time `json:"sealFrom"`
+	// Edit is the random identifier of the edit that wrote the record. A
+	// client whose answer was lost finds its own edit by it.
+	Edit string `json:"edit,omitempty"`
 }
 
 // Node is one node of the settings tree.
@@ -82,6 +92,9 @@
 	// Generation increases when a deleted node is created again.
 	Generation uint64 `json:"generation"`
 	Values     Values `json:"values"`
+	// Edit is the random identifier of the edit that wrote the record. A
+	// client whose answer was lost finds its own edit by it.
+	Edit string `json:"edit,omitempty"`
 }
 
 // Snapshot is the whole of the settings at one revision of the platform.
