ebonyctl: add the operators' client

Cause: operators had no program to read or change settings. Ruled out: repeating a write after a lost answer, which could overwrite an edit made between. Conclusion: the admin service of instances is not connected yet.

--- /dev/null
+++ b/ebonyctl/client/client.go
@@ -0,0 +1,114 @@
+// Package client gives operators access to the object API and to instances.
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"ebonypaddle/pkg/conf"
+)
+
+// Objects is the object API. Put and Delete take effect only if the object is
+// at revision rev; 0 means that it must not exist.
+type Objects interface {
+	List(ctx context.Context, kind conf.Kind) (rev uint64, objs []conf.Object, err error)
+	Get(ctx context.Context, kind conf.Kind, name string) (conf.Object, error)
+	Put(ctx context.Context, kind conf.Kind, name string, rev uint64, value []byte) (uint64, error)
+	Delete(ctx context.Context, kind conf.Kind, name string, rev uint64) (uint64, error)
+}
+
+// Instances are the running daemons, asked with the operator key.
+type Instances interface {
+	Status(ctx context.Context) ([]Status, error)
+	// Watch reports, after a short wait at most, which places have rev in force.
+	Watch(ctx context.Context, rev uint64) (Progress, error)
+	// Notify hands a change directly to the instances that the client
+	// reaches and returns how many took it.
+	Notify(ctx context.Context, change conf.Object) (int, error)
+}
+
+// Status is what one instance reports.
+type Status struct {
+	Entry   string            `json:"entry"`
+	Domain  string            `json:"domain"`
+	Rev     uint64            `json:"rev"`
+	Flows   uint64            `json:"flows"`
+	Servers map[string]string `json:"servers"` // stage by server name
+	Refused map[string]uint64 `json:"refused"` // count by reason
+}
+
+// Progress tells the places at which a revision is in force from the others.
+type Progress struct {
+	Reached []string `json:"reached"`
+	Missing []string `json:"missing"`
+}
+
+// ErrNotFound reports an object that does not exist.
+var ErrNotFound = errors.New("object does not exist")
+
+// Stale reports a conditional write that found another revision. Nothing was
+// written.
+type Stale struct{ Current uint64 }
+
+// Error names the current revision.
+func (e *Stale) Error() string {
+	return fmt.Sprintf("the object changed; the store is at revision %d", e.Current)
+}
+
+// LostAnswer reports a write that may or may not have taken effect.
+type LostAnswer struct{ Err error }
+
+// Error gives the cause.
+func (e *LostAnswer) Error() string { return "no answer to the write: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *LostAnswer) Unwrap() error { return e.Err }
+
+// Conflict reports a race of two edits. The other edit is in the store; this
+// one is kept here for the operator.
+type Conflict struct {
+	Edit Edit `json:"edit"`
+	// Current is the object in the store; Deleted if there is none.
+	Current conf.Object `json:"current"`
+	// Uncertain is set when the answer was lost as well, so that this edit
+	// may have been in force before the other replaced it.
+	Uncertain bool `json:"uncertain"`
+}
+
+// Error names the object and both revisions.
+func (e *Conflict) Error() string {
+	s := fmt.Sprintf("%s %q: edit of revision %d met revision %d", e.Edit.Kind, e.Edit.Name, e.Edit.Rev, e.Current.Rev)
+	if e.Uncertain {
+		s += "; its answer was lost and it may have been in force for a time"
+	}
+	return s
+}
+
+// Unknown reports an edit whose answer was lost and that reading back does
+// not show. It may still take effect.
+type Unknown struct {
+	Edit Edit
+	Err  error
+}
+
+// Error says what to look for.
+func (e *Unknown) Error() string {
+	return fmt.Sprintf("%s %q: edit %s is not in the store and may still arrive: %v", e.Edit.Kind, e.Edit.Name, e.Edit.ID, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Unknown) Unwrap() error { return e.Err }
+
+// Edit is one conditional change of an object.
+type Edit struct {
+	Kind conf.Kind `json:"kind"`
+	Name string    `json:"name"`
+	// Rev is the revision that the edit replaces, 0 for a new object.
+	Rev uint64 `json:"rev"`
+	// Base is the value at Rev, and Value the new one; nil deletes.
+	Base  json.RawMessage `json:"base,omitempty"`
+	Value json.RawMessage `json:"value,omitempty"`
+	ID    string          `json:"id"`
+}
--- /dev/null
+++ b/ebonyctl/verbs/app.go
@@ -0,0 +1,155 @@
+// Package verbs holds the commands of ebonyctl.
+package verbs
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"ebonypaddle/ebonyctl/client"
+	"ebonypaddle/pkg/conf"
+)
+
+// Exit codes.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitUsage    = 2
+	ExitInvalid  = 3
+	ExitConflict = 4
+	ExitMissing  = 5
+	ExitUnknown  = 6
+	ExitNotFound = 7
+)
+
+// App is the program; its fields are set before Run.
+type App struct {
+	Out, Err io.Writer
+	Rand     *rand.Rand
+	Now      func() time.Time
+	Pause    func(context.Context, time.Duration) error
+	// DialObjects and DialInstances connect to the addresses of the flags
+	// --api and --instance.
+	DialObjects   func(base []string) (client.Objects, error)
+	DialInstances func(addrs []string, key string) (client.Instances, error)
+
+	objects   client.Objects
+	instances client.Instances
+	json      bool
+}
+
+type usageError struct{ err error }
+
+func (e *usageError) Error() string { return e.err.Error() }
+func (e *usageError) Unwrap() error { return e.err }
+
+func usagef(format string, args ...any) error { return &usageError{fmt.Errorf(format, args...)} }
+
+// NotInForce reports a revision that some places do not have in force.
+type NotInForce struct {
+	Rev     uint64
+	Missing []string
+}
+
+// Error names the missing places.
+func (e *NotInForce) Error() string {
+	return fmt.Sprintf("revision %d is not in force on: %v", e.Rev, e.Missing)
+}
+
+// Run runs one command line and returns the exit code.
+func (a *App) Run(ctx context.Context, args []string) int {
+	err := a.Command().Run(ctx, args)
+	if err != nil {
+		a.fail(err)
+	}
+	return ExitCode(err)
+}
+
+// ExitCode returns the exit code for an error of a command.
+func ExitCode(err error) int {
+	var (
+		usage    *usageError
+		problems conf.Problems
+		conflict *client.Conflict
+		missing  *NotInForce
+		unknown  *client.Unknown
+		path     *conf.PathError
+	)
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &usage):
+		return ExitUsage
+	case errors.As(err, &problems):
+		return ExitInvalid
+	case errors.As(err, &conflict):
+		return ExitConflict
+	case errors.As(err, &missing):
+		return ExitMissing
+	case errors.As(err, &unknown):
+		return ExitUnknown
+	case errors.Is(err, client.ErrNotFound), errors.As(err, &path):
+		return ExitNotFound
+	}
+	return ExitFailed
+}
+
+func (a *App) fail(err error) {
+	var conflict *client.Conflict
+	if !errors.As(err, &conflict) {
+		fmt.Fprintln(a.Err, "ebonyctl:", err)
+		return
+	}
+	ed := conflict.Edit
+	fmt.Fprintf(a.Err, "ebonyctl: %v\nyour edit, which was not written over the other:\n", err)
+	a.changes(a.Err, ed.Kind, ed.Name, ed.Base, ed.Value)
+	fmt.Fprintln(a.Err, "the other edit, which is in the store:")
+	a.changes(a.Err, ed.Kind, ed.Name, ed.Base, conflict.Current.Value)
+	fmt.Fprintf(a.Err, "to apply yours on top, repeat it with --rev %d\n", conflict.Current.Rev)
+}
+
+// changes writes the differences between two values of an object.
+func (a *App) changes(w io.Writer, kind conf.Kind, name string, from, to []byte) {
+	side := func(v []byte) *conf.Snapshot {
+		if v == nil {
+			return conf.Empty()
+		}
+		s, _ := conf.Empty().With(conf.Object{Kind: kind, Name: name, Value: v})
+		return s
+	}
+	for _, c := range conf.Diff(side(from), side(to)) {
+		fmt.Fprintln(w, "  "+c.String())
+	}
+}
+
+// emit writes v as JSON or calls human.
+func (a *App) emit(v any, human func(io.Writer)) error {
+	if !a.json {
+		human(a.Out)
+		return nil
+	}
+	enc := json.NewEncoder(a.Out)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+func (a *App) before(ctx context.Context, cmd *cli.Command) (context.Context, error) {
+	switch out := cmd.String("output"); out {
+	case "human", "json":
+		a.json = out == "json"
+	default:
+		return ctx, usagef("--output is %q, must be human or json", out)
+	}
+	var err error
+	if a.objects, err = a.DialObjects(cmd.StringSlice("api")); err != nil {
+		return ctx, err
+	}
+	a.instances, err = a.DialInstances(cmd.StringSlice("instance"), cmd.String("operator-key"))
+	return ctx, err
+}
--- /dev/null
+++ b/ebonyctl/verbs/write.go
@@ -0,0 +1,167 @@
+package verbs
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"ebonypaddle/ebonyctl/client"
+	"ebonypaddle/pkg/conf"
+)
+
+func (a *App) nodeSet(ctx context.Context, cmd *cli.Command) error {
+	path := cmd.Args().First()
+	st, err := a.load(ctx)
+	if err != nil {
+		return err
+	}
+	n, ok := st.snap.Nodes[path]
+	if !ok {
+		// The store's revision only grows, so a recreated node has a higher
+		// generation than the deleted one.
+		n = conf.Node{Path: path, Generation: st.snap.Rev + 1}
+	}
+	var ps conf.Problems
+	for _, arg := range cmd.Args().Tail() {
+		name, text, ok := strings.Cut(arg, "=")
+		if !ok {
+			return usagef("%q must be FIELD=VALUE", arg)
+		}
+		ps = append(ps, n.Values.Set(path, name, text)...)
+	}
+	if len(ps) > 0 {
+		return ps
+	}
+	o, err := conf.Encode(conf.KindNode, path, n)
+	if err != nil {
+		return err
+	}
+	return a.commit(ctx, cmd, st, o)
+}
+
+func (a *App) nodeDelete(ctx context.Context, cmd *cli.Command) error {
+	path := cmd.Args().First()
+	st, err := a.load(ctx)
+	if err != nil {
+		return err
+	}
+	if _, ok := st.snap.Nodes[path]; !ok {
+		return fmt.Errorf("node %q: %w", path, client.ErrNotFound)
+	}
+	return a.commit(ctx, cmd, st, conf.Object{Kind: conf.KindNode, Name: path, Deleted: true})
+}
+
+func (a *App) domainMark(mark conf.Mark) func(context.Context, *cli.Command) error {
+	return func(ctx context.Context, cmd *cli.Command) error {
+		name := cmd.Args().First()
+		st, err := a.load(ctx)
+		if err != nil {
+			return err
+		}
+		d, ok := st.snap.Domains[name]
+		if !ok {
+			return fmt.Errorf("domain %q: %w", name, client.ErrNotFound)
+		}
+		d.Mark = mark
+		o, err := conf.Encode(conf.KindDomain, name, d)
+		if err != nil {
+			return err
+		}
+		return a.commit(ctx, cmd, st, o)
+	}
+}
+
+func (a *App) serverMark(mark conf.Mark) func(context.Context, *cli.Command) error {
+	return func(ctx context.Context, cmd *cli.Command) error {
+		name := cmd.Args().First()
+		st, err := a.load(ctx)
+		if err != nil {
+			return err
+		}
+		v, ok := st.snap.Servers[name]
+		if !ok {
+			return fmt.Errorf("server %q: %w", name, client.ErrNotFound)
+		}
+		if v.Mark != mark {
+			v.Mark, v.Since = mark, a.Now().UTC()
+		}
+		o, err := conf.Encode(conf.KindServer, name, v)
+		if err != nil {
+			return err
+		}
+		return a.commit(ctx, cmd, st, o)
+	}
+}
+
+// apply validates the whole file first, then writes one object at a time, so
+// that every state between two writes is valid.
+func (a *App) apply(ctx context.Context, cmd *cli.Command) error {
+	next, err := readFile(cmd.Args().First())
+	if err != nil {
+		return err
+	}
+	st, err := a.load(ctx)
+	if err != nil {
+		return err
+	}
+	edits, err := a.edits(st, next, cmd.Bool("prune"))
+	if err != nil {
+		return err
+	}
+	rev := st.snap.Rev
+	for i, ed := range edits {
+		if rev, err = a.write(ctx, ed); err != nil {
+			return errors.Join(fmt.Errorf("%d of %d objects are written", i, len(edits)), err)
+		}
+	}
+	return a.follow(ctx, cmd, rev)
+}
+
+// edits lists what turns the store into next, in an order that is valid after
+// every step. Without prune, objects that next lacks are kept.
+func (a *App) edits(st *state, next *conf.Snapshot, prune bool) ([]client.Edit, error) {
+	differs := map[[2]string]bool{}
+	for _, c := range conf.Diff(st.snap, next) {
+		differs[[2]string{string(c.Kind), c.Name}] = true
+	}
+	puts, err := next.Objects()
+	if err != nil {
+		return nil, err
+	}
+	olds, err := st.snap.Objects()
+	if err != nil {
+		return nil, err
+	}
+	slices.Reverse(olds) // Objects that refer to others are deleted first.
+	listed := map[[2]string]bool{}
+	var out []client.Edit
+	goal := st.snap
+	add := func(o conf.Object) error {
+		var ps conf.Problems
+		if goal, ps = goal.With(o); len(ps) > 0 {
+			return ps
+		}
+		out = append(out, st.edit(o))
+		return nil
+	}
+	for _, o := range puts {
+		key := [2]string{string(o.Kind), o.Name}
+		listed[key] = true
+		if differs[key] {
+			err = errors.Join(err, add(o))
+		}
+	}
+	for _, o := range olds {
+		if prune && !listed[[2]string{string(o.Kind), o.Name}] {
+			err = errors.Join(err, add(conf.Object{Kind: o.Kind, Name: o.Name, Deleted: true}))
+		}
+	}
+	if err != nil {
+		return nil, err
+	}
+	return out, a.check(st, goal)
+}
