ebonyctl: test the commands against a stand-in object API

Cause: the commands had no tests and no reference. Change: tests run command lines against an HTTP stand-in of the object API on a loopback address and against instances in memory, on virtual time. docs/cli.md is checked against the command tree. Ruled out: a root completion test; the library reads the process arguments there. The completion of a group is tested instead. Conclusion: a lost answer leads to one write, and a race leaves both edits with the operators.

--- a/ebonyctl/client/edit.go
+++ b/ebonyctl/client/edit.go
@@ -28,11 +28,11 @@
 }
 
 // Apply writes the edit once and returns the revision that it took effect at.
-// A lost answer is settled by reading back; the write is never repeated.
+// It sets the edit's identifier and adds it to the value. A lost answer is settled by reading back; the write is never repeated.
 // Errors: *Conflict, *Unknown, or those of Objects.
-func (e *Editor) Apply(ctx context.Context, ed Edit) (uint64, error) {
+func (e *Editor) Apply(ctx context.Context, ed *Edit) (uint64, error) {
 	ed.ID = fmt.Sprintf("%016x%016x", e.Rand.Uint64(), e.Rand.Uint64())
-	rev, err := e.write(ctx, &ed)
+	rev, err := e.write(ctx, ed)
 	var stale *Stale
 	var lost *LostAnswer
 	switch {
@@ -61,17 +61,17 @@
 	return e.Objects.Put(ctx, ed.Kind, ed.Name, ed.Rev, v)
 }
 
-func (e *Editor) conflict(ctx context.Context, ed Edit) error {
+func (e *Editor) conflict(ctx context.Context, ed *Edit) error {
 	cur, err := e.Objects.Get(ctx, ed.Kind, ed.Name)
 	if errors.Is(err, ErrNotFound) {
 		cur = conf.Object{Kind: ed.Kind, Name: ed.Name, Deleted: true}
 	} else if err != nil {
 		return fmt.Errorf("read the other edit: %w", err)
 	}
-	return &Conflict{Edit: ed, Current: cur}
+	return &Conflict{Edit: *ed, Current: cur}
 }
 
-func (e *Editor) readBack(ctx context.Context, ed Edit, lost error) (uint64, error) {
+func (e *Editor) readBack(ctx context.Context, ed *Edit, lost error) (uint64, error) {
 	for range readBacks {
 		if err := e.Pause(ctx, readBackWait); err != nil {
 			break
@@ -91,9 +91,9 @@
 		case editOf(cur.Value) == ed.ID:
 			return cur.Rev, nil
 		}
-		return 0, &Conflict{Edit: ed, Current: cur, Uncertain: true}
+		return 0, &Conflict{Edit: *ed, Current: cur, Uncertain: true}
 	}
-	return 0, &Unknown{Edit: ed, Err: lost}
+	return 0, &Unknown{Edit: *ed, Err: lost}
 }
 
 func editOf(value []byte) string {
--- a/ebonyctl/verbs/app.go
+++ b/ebonyctl/verbs/app.go
@@ -107,15 +107,30 @@
 		return
 	}
 	ed := conflict.Edit
+	race := struct {
+		Yours []conf.Change `json:"yours"`
+		Other []conf.Change `json:"other"`
+		Rev   uint64        `json:"rev"`
+	}{changes(ed.Kind, ed.Name, ed.Base, ed.Value), changes(ed.Kind, ed.Name, ed.Base, conflict.Current.Value), conflict.Current.Rev}
+	if a.json {
+		// An error of the output leaves the text below on the other stream.
+		_ = a.emit(race, nil)
+	}
 	fmt.Fprintf(a.Err, "ebonyctl: %v\nyour edit, which was not written over the other:\n", err)
-	a.changes(a.Err, ed.Kind, ed.Name, ed.Base, ed.Value)
+	list(a.Err, race.Yours)
 	fmt.Fprintln(a.Err, "the other edit, which is in the store:")
-	a.changes(a.Err, ed.Kind, ed.Name, ed.Base, conflict.Current.Value)
-	fmt.Fprintf(a.Err, "to apply yours on top, repeat it with --rev %d\n", conflict.Current.Rev)
+	list(a.Err, race.Other)
+	fmt.Fprintf(a.Err, "to apply yours on top, repeat it with --rev %d\n", race.Rev)
 }
 
-// changes writes the differences between two values of an object.
-func (a *App) changes(w io.Writer, kind conf.Kind, name string, from, to []byte) {
+func list(w io.Writer, cs []conf.Change) {
+	for _, c := range cs {
+		fmt.Fprintln(w, "  "+c.String())
+	}
+}
+
+// changes lists the differences between two values of an object.
+func changes(kind conf.Kind, name string, from, to []byte) []conf.Change {
 	side := func(v []byte) *conf.Snapshot {
 		if v == nil {
 			return conf.Empty()
@@ -123,9 +138,7 @@
 		s, _ := conf.Empty().With(conf.Object{Kind: kind, Name: name, Value: v})
 		return s
 	}
-	for _, c := range conf.Diff(side(from), side(to)) {
-		fmt.Fprintln(w, "  "+c.String())
-	}
+	return conf.Diff(side(from), side(to))
 }
 
 // emit writes v as JSON or calls human.
--- a/ebonyctl/verbs/change.go
+++ b/ebonyctl/verbs/change.go
@@ -71,7 +71,9 @@
 	}
 	ed := st.edit(o)
 	if cmd.IsSet("rev") {
-		ed.Rev = cmd.Uint64("rev")
+		if ed.Rev = cmd.Uint64("rev"); ed.Rev != st.objs[o.Kind][o.Name].Rev {
+			ed.Base = nil // What the operator saw is not in the store any more.
+		}
 	}
 	rev, err := a.write(ctx, ed)
 	if err != nil {
@@ -83,7 +85,7 @@
 // write writes the edit and hands it to the instances that are reachable.
 func (a *App) write(ctx context.Context, ed client.Edit) (uint64, error) {
 	e := client.Editor{Objects: a.objects, Rand: a.Rand, Pause: a.Pause}
-	rev, err := e.Apply(ctx, ed)
+	rev, err := e.Apply(ctx, &ed)
 	if err != nil {
 		return 0, err
 	}
--- a/ebonyctl/verbs/doc.go
+++ b/ebonyctl/verbs/doc.go
@@ -66,8 +66,8 @@
 			continue
 		}
 		fmt.Fprintf(b, "- `--%s`: %s", f.Names()[0], d.GetUsage())
-		if v := d.GetDefaultText(); v != "" && v != `""` && v != "0" && v != "false" {
-			fmt.Fprintf(b, " (default %s)", strings.Trim(v, `"`))
+		if v := defaultOf(f); v != "" {
+			fmt.Fprintf(b, " (default %s)", v)
 		}
 		if env := d.GetEnvVars(); len(env) > 0 {
 			fmt.Fprintf(b, " [%s]", env[0])
@@ -75,3 +75,13 @@
 		b.WriteString("\n")
 	}
 }
+
+func defaultOf(f cli.Flag) string {
+	switch f := f.(type) {
+	case *cli.StringFlag:
+		return f.Value
+	case *cli.DurationFlag:
+		return f.Value.String()
+	}
+	return ""
+}
--- /dev/null
+++ b/ebonyctl/verbs/verbs_test.go
@@ -0,0 +1,192 @@
+package verbs
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"ebonypaddle/pkg/conf"
+)
+
+const utility = "../../samples/utility.json"
+
+func loaded(t *testing.T) *bench {
+	t.Helper()
+	b := newBench(t)
+	b.run(ExitOK, "apply", utility)
+	return b
+}
+
+// value returns one resolved value of the store.
+func (b *bench) value(path, field string) string {
+	b.t.Helper()
+	out, _ := b.run(ExitOK, "value", "get", path, field)
+	return strings.Fields(out)[1]
+}
+
+// Guards against a file that is applied in part, twice or in a wrong order.
+func TestApply(t *testing.T) {
+	b := loaded(t)
+	rev := b.rev
+	assert.Equal(t, rev, uint64(len(b.objs)))
+	out, _ := b.run(ExitOK, "diff", utility)
+	assert.Equal(t, out, "0 differences\n")
+	b.run(ExitOK, "apply", utility)
+	assert.Equal(t, b.rev, rev)
+	out, _ = b.run(ExitOK, "value", "get", "/utility/ledger/yeka", "attemptTime")
+	assert.Equal(t, out, "attemptTime  2s  from /utility/ledger/yeka\n")
+	out, _ = b.run(ExitOK, "--output", "json", "tree", "show")
+	var s conf.Snapshot
+	assert.NilError(t, json.Unmarshal([]byte(out), &s))
+	assert.Equal(t, len(s.Servers), 18)
+	assert.Equal(t, len(s.Keys["first"].Secret), 0)
+	b.run(ExitOK, "node", "set", "/utility/ledger/kirkos", "slots=3")
+	b.run(ExitOK, "node", "set", "/extra", "slots=3")
+	b.run(ExitOK, "node", "set", "/extra/x", "serviceId=99", "address=10.9.9.9:7000")
+	out, _ = b.run(ExitOK, "apply", "--prune", utility)
+	contains(t, out, "in force")
+	assert.Equal(t, b.value("/utility/ledger/kirkos", "slots"), "2")
+	assert.NilError(t, b.invalid.Err())
+	b.run(ExitNotFound, "value", "get", "/extra")
+}
+
+// Guards against an edit that is lost when operators race.
+func TestRace(t *testing.T) {
+	b := loaded(t)
+	other := []byte(`{"path":"/utility","generation":1,"values":{"maxClockSkew":"100ms","freshFor":"2s"}}`)
+	b.before = func(func()) bool { b.put(conf.KindNode, "/utility", other); return false }
+	out, errs := b.run(ExitConflict, "--output", "json", "node", "set", "/utility", "slots=3")
+	contains(t, errs, "values.slots: (absent) -> 3", `values.freshFor: (absent) -> "2s"`)
+	contains(t, out, `"field": "values.slots"`, `"field": "values.freshFor"`)
+	assert.Equal(t, b.value("/utility", "freshFor"), "2s")
+	assert.Equal(t, b.value("/utility", "slots"), "2")
+	rev := errs[strings.LastIndex(errs, "--rev"):]
+	b.run(ExitOK, append([]string{"node", "set", "/utility", "slots=3"}, strings.Fields(rev)...)...)
+	assert.Equal(t, b.value("/utility", "freshFor"), "2s")
+	assert.Equal(t, b.value("/utility", "slots"), "3")
+	b.run(ExitOK, "node", "set", "/utility", "slots=")
+	assert.Equal(t, b.value("/utility", "slots"), "2")
+	b.run(ExitConflict, "node", "set", "/utility", "slots=4", "--rev", "1")
+	b.run(ExitConflict, "node", "delete", "/utility/ledger/bole", "--rev", "1")
+	b.run(ExitOK, "node", "delete", "/utility/ledger/bole")
+	assert.Equal(t, b.value("/utility/ledger/bole", "attemptTime"), "1s")
+}
+
+// Guards against a write that is repeated, or reported wrongly, when its
+// answer is lost.
+func TestLostAnswer(t *testing.T) {
+	other := []byte(`{"path":"/utility","generation":1,"values":{"slots":5}}`)
+	set := []string{"node", "set", "/utility", "slots=3"}
+	for _, tc := range []struct {
+		name  string
+		args  []string
+		code  int
+		slots string
+		hook  func(b *bench, apply func())
+	}{
+		{"written", set, ExitOK, "3", func(_ *bench, apply func()) { apply() }},
+		{"not written", set, ExitUnknown, "2", func(*bench, func()) {}},
+		{"written and replaced", set, ExitConflict, "5", func(b *bench, apply func()) { apply(); b.put(conf.KindNode, "/utility", other) }},
+		{"deleted", []string{"node", "delete", "/utility/ledger/bole"}, ExitOK, "2", func(_ *bench, apply func()) { apply() }},
+		{"not deleted", []string{"node", "delete", "/utility/ledger/bole"}, ExitUnknown, "2", func(*bench, func()) {}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := loaded(t)
+			clear(b.count)
+			b.before = func(apply func()) bool { tc.hook(b, apply); return true }
+			b.run(tc.code, tc.args...)
+			assert.Equal(t, b.count["PUT"]+b.count["DELETE"], 1)
+			assert.Equal(t, b.value("/utility", "slots"), tc.slots)
+		})
+	}
+}
+
+// Guards against a mark that is not handed over, and against a change that is
+// called done while an instance lacks it.
+func TestMarks(t *testing.T) {
+	b := loaded(t)
+	b.notified = nil
+	out, _ := b.run(ExitOK, "domain", "out", "bole")
+	contains(t, out, "in force on 1 instances")
+	assert.Equal(t, len(b.notified), 1)
+	assert.Equal(t, b.notified[0].Rev, b.rev)
+	assert.Equal(t, string(b.notified[0].Value), string(b.objs["domain/bole"].Value))
+	contains(t, string(b.notified[0].Value), `"mark":"out"`)
+	b.missing = []string{"yeka-2"}
+	begin := b.now
+	_, errs := b.run(ExitMissing, "domain", "in", "bole")
+	contains(t, errs, "yeka-2")
+	assert.Equal(t, b.now.Sub(begin), inForceTime)
+	b.run(ExitMissing, "watch", "3", "--timeout", "1s")
+	b.missing = nil
+	b.run(ExitOK, "watch", "3")
+	for verb, mark := range map[string]string{"leave": "leaving", "return": "in", "remove": "removed"} {
+		b.run(ExitOK, "server", verb, "ledger-01", "--no-wait")
+		contains(t, string(b.objs["server/ledger-01"].Value), `"mark":"`+mark+`"`)
+	}
+	out, _ = b.run(ExitOK, "status")
+	contains(t, out, "bole-1", "warm=1", "overloaded=2")
+}
+
+// Guards against exit codes that differ from the reference.
+func TestExitCodes(t *testing.T) {
+	b := loaded(t)
+	bad := filepath.Join(t.TempDir(), "bad.json")
+	assert.NilError(t, os.WriteFile(bad, []byte(`{"nodes":{"/a":{"values":{"slots":0}}}}`), 0o600))
+	for _, tc := range []struct {
+		code int
+		args string
+		text string
+	}{
+		{ExitOK, "validate " + utility, ""},
+		{ExitInvalid, "validate " + bad, `node "/a": field slots is 0, must be between 1 and 1024`},
+		{ExitInvalid, "apply " + bad, "field slots is 0"},
+		{ExitInvalid, "node set /utility freshFor=9s", "freshFor is 9s, must be between 500ms and 3.5s"},
+		{ExitInvalid, "node set /utility freshFor=2", "unit"},
+		{ExitInvalid, "node delete /utility/ledger", "service"},
+		{ExitUsage, "node set /utility", "FIELD=VALUE"},
+		{ExitUsage, "node", "subcommands"},
+		{ExitUsage, "watch soon", "revision number"},
+		{ExitUsage, "status --nonsense", "nonsense"},
+		{ExitUsage, "--output yaml status", "yaml"},
+		{ExitUsage, "value get / speed", "speed"},
+		{ExitNotFound, "domain out nowhere", "nowhere"},
+		{ExitNotFound, "value get /nowhere", "/nowhere"},
+		{ExitFailed, "--api http://127.0.0.1:1 tree show", ""},
+	} {
+		t.Run(tc.args, func(t *testing.T) {
+			b.t = t
+			if strings.HasPrefix(tc.args, "--api") {
+				b.url = "http://127.0.0.1:1"
+			}
+			_, errs := b.run(tc.code, strings.Fields(tc.args)...)
+			contains(t, errs, tc.text)
+		})
+	}
+}
+
+// Guards against a client that gives up while another address answers, and
+// against one that does not look at If-Match.
+func TestAddresses(t *testing.T) {
+	b := loaded(t)
+	live := b.url
+	b.url = "http://127.0.0.1:1" // Refuses connections.
+	b.run(ExitOK, "--api", live, "domain", "out", "bole")
+	contains(t, string(b.objs["domain/bole"].Value), `"mark":"out"`)
+	b.run(ExitConflict, "--api", live, "domain", "in", "bole", "--rev", "0")
+}
+
+// Guards against a reference and a completion that differ from the program.
+func TestDoc(t *testing.T) {
+	b := newBench(t)
+	golden.Assert(t, b.app().Doc(), "../../../docs/cli.md")
+	out, _ := b.run(ExitOK, "node", "--generate-shell-completion")
+	contains(t, out, "set", "delete")
+	out, _ = b.run(ExitOK, "completion", "bash")
+	contains(t, out, "complete")
+}
