ebonyctl: return errors of the output

Cause: the linter reported writes whose errors were dropped; a full pipe or disk would have ended with exit code 0. Change: a command builds its text first and returns the error of the write. Ruled out: excluding the functions in the linter's settings. Conclusion: a command whose output is cut off fails.

--- a/ebonyctl/verbs/app.go
+++ b/ebonyctl/verbs/app.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -103,7 +104,7 @@
 func (a *App) fail(err error) {
 	var conflict *client.Conflict
 	if !errors.As(err, &conflict) {
-		fmt.Fprintln(a.Err, "ebonyctl:", err)
+		a.warn("ebonyctl: %v\n", err)
 		return
 	}
 	ed := conflict.Edit
@@ -116,19 +117,22 @@
 		// An error of the output leaves the text below on the other stream.
 		_ = a.emit(race, nil)
 	}
-	fmt.Fprintf(a.Err, "ebonyctl: %v\nyour edit, which was not written over the other:\n", err)
-	list(a.Err, race.Yours)
-	fmt.Fprintln(a.Err, "the other edit, which is in the store:")
-	list(a.Err, race.Other)
-	fmt.Fprintf(a.Err, "to apply yours on top, repeat it with --rev %d\n", race.Rev)
+	a.warn("ebonyctl: %v\nyour edit, which was not written over the other:\n", err)
+	a.list(race.Yours)
+	a.warn("the other edit, which is in the store:\n")
+	a.list(race.Other)
+	a.warn("to apply yours on top, repeat it with --rev %d\n", race.Rev)
 }
 
-func list(w io.Writer, cs []conf.Change) {
+func (a *App) list(cs []conf.Change) {
 	for _, c := range cs {
-		fmt.Fprintln(w, "  "+c.String())
+		a.warn("  %s\n", c)
 	}
 }
 
+// warn writes to the error stream, whose own errors have nowhere to go.
+func (a *App) warn(format string, args ...any) { _, _ = fmt.Fprintf(a.Err, format, args...) }
+
 // changes lists the differences between two values of an object.
 func changes(kind conf.Kind, name string, from, to []byte) []conf.Change {
 	side := func(v []byte) *conf.Snapshot {
@@ -141,15 +145,17 @@
 	return conf.Diff(side(from), side(to))
 }
 
-// emit writes v as JSON or calls human.
-func (a *App) emit(v any, human func(io.Writer)) error {
-	if !a.json {
-		human(a.Out)
-		return nil
+// emit writes v as JSON, or what human writes.
+func (a *App) emit(v any, human func(*strings.Builder)) error {
+	if a.json {
+		enc := json.NewEncoder(a.Out)
+		enc.SetIndent("", "  ")
+		return enc.Encode(v)
 	}
-	enc := json.NewEncoder(a.Out)
-	enc.SetIndent("", "  ")
-	return enc.Encode(v)
+	var b strings.Builder
+	human(&b)
+	_, err := io.WriteString(a.Out, b.String())
+	return err
 }
 
 func (a *App) before(ctx context.Context, cmd *cli.Command) (context.Context, error) {
--- a/ebonyctl/verbs/change.go
+++ b/ebonyctl/verbs/change.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -93,7 +93,7 @@
 		Kind: ed.Kind, Name: ed.Name, Rev: rev, Value: ed.Value, Deleted: ed.Value == nil,
 	})
 	if err != nil || n == 0 {
-		fmt.Fprintf(a.Err, "revision %d is accepted, but the client handed it to no instance (%v); "+
+		a.warn("revision %d is accepted, but the client handed it to no instance (%v); "+
 			"it is in force once an instance reads the object API\n", rev, err)
 	}
 	return rev, nil
@@ -107,14 +107,14 @@
 	}
 	done := result{Rev: rev}
 	if cmd.Bool("no-wait") {
-		return a.emit(done, func(w io.Writer) { fmt.Fprintf(w, "accepted at revision %d\n", rev) })
+		return a.emit(done, func(w *strings.Builder) { fmt.Fprintf(w, "accepted at revision %d\n", rev) })
 	}
 	end := a.Now().Add(cmd.Duration("timeout"))
 	for {
 		p, err := a.instances.Watch(ctx, rev)
 		if err == nil && len(p.Missing) == 0 {
 			done.Progress = p
-			return a.emit(done, func(w io.Writer) {
+			return a.emit(done, func(w *strings.Builder) {
 				fmt.Fprintf(w, "revision %d is in force on %d instances\n", rev, len(p.Reached))
 			})
 		}
--- a/ebonyctl/verbs/fake_test.go
+++ b/ebonyctl/verbs/fake_test.go
@@ -66,12 +66,13 @@
 	}
 	body, _ := io.ReadAll(r.Body)
 	apply := func() {
-		if s.objs[kind+"/"+name].Rev != atoi(r.Header.Get("If-Match")) {
+		switch {
+		case s.objs[kind+"/"+name].Rev != atoi(r.Header.Get("If-Match")):
 			w.WriteHeader(http.StatusConflict)
-		} else if r.Method == http.MethodDelete {
+		case r.Method == http.MethodDelete:
 			s.rev++
 			delete(s.objs, kind+"/"+name)
-		} else {
+		default:
 			s.put(conf.Kind(kind), name, body)
 		}
 		var all []conf.Object
--- a/ebonyctl/verbs/read.go
+++ b/ebonyctl/verbs/read.go
@@ -4,11 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"maps"
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/urfave/cli/v3"
@@ -19,11 +19,13 @@
 func sorted[T any](m map[string]T) []string { return slices.Sorted(maps.Keys(m)) }
 
 // table aligns the tab-separated columns that fill writes.
-func table(w io.Writer, fill func(io.Writer)) {
+func table(w *strings.Builder, fill func(*strings.Builder)) {
 	const gap = 2 // spaces between columns
+	var b strings.Builder
+	fill(&b)
 	t := tabwriter.NewWriter(w, 0, 0, gap, ' ', 0)
-	fill(t)
-	// An error of the writer below shows at the next write to it as well.
+	// A strings.Builder takes every write.
+	_, _ = t.Write([]byte(b.String()))
 	_ = t.Flush()
 }
 
@@ -38,9 +40,9 @@
 		k.Secret = nil
 		shown.Keys[name] = k
 	}
-	return a.emit(shown, func(w io.Writer) {
+	return a.emit(shown, func(w *strings.Builder) {
 		fmt.Fprintf(w, "revision %d\n", shown.Rev)
-		table(w, func(w io.Writer) {
+		table(w, func(w *strings.Builder) {
 			for _, n := range sorted(shown.Nodes) {
 				fmt.Fprintf(w, "node\t%s\trev %d\n", n, st.objs[conf.KindNode][n].Rev)
 			}
@@ -78,8 +80,8 @@
 	if len(out) == 0 {
 		return usagef("field %q does not exist", cmd.Args().Get(1))
 	}
-	return a.emit(out, func(w io.Writer) {
-		table(w, func(w io.Writer) {
+	return a.emit(out, func(w *strings.Builder) {
+		table(w, func(w *strings.Builder) {
 			for _, v := range out {
 				fmt.Fprintf(w, "%s\t%s\tfrom %s\n", v.Field, v.Value, v.Source)
 			}
@@ -104,7 +106,7 @@
 	if err := conf.Problems(conf.Validate(s)).Err(); err != nil {
 		return a.report(err)
 	}
-	return a.emit([]conf.Problem{}, func(w io.Writer) { fmt.Fprintln(w, "valid") })
+	return a.emit([]conf.Problem{}, func(w *strings.Builder) { fmt.Fprintln(w, "valid") })
 }
 
 // report also writes problems as JSON if that is asked for.
@@ -126,7 +128,7 @@
 		return err
 	}
 	changes := conf.Diff(st.snap, s)
-	return a.emit(changes, func(w io.Writer) {
+	return a.emit(changes, func(w *strings.Builder) {
 		for _, c := range changes {
 			fmt.Fprintln(w, c)
 		}
@@ -147,8 +149,8 @@
 	if err != nil {
 		return fmt.Errorf("status of instances: %w", err)
 	}
-	return a.emit(all, func(w io.Writer) {
-		table(w, func(w io.Writer) {
+	return a.emit(all, func(w *strings.Builder) {
+		table(w, func(w *strings.Builder) {
 			fmt.Fprintln(w, "INSTANCE\tDOMAIN\tREV\tFLOWS\tSERVERS\tREFUSALS")
 			for _, s := range all {
 				stages := map[string]int{}
