conf: build the table of fields once

Cause: Resolve built the table of fields, with its functions, on each call. Change: the table is made once and Fields returns a copy. Ruled out: nothing else was tried. Conclusion: resolving a path allocates for its result only.

--- a/pkg/conf/conf_test.go
+++ b/pkg/conf/conf_test.go
@@ -357,3 +357,18 @@
 		assert.Equal(t, len(Diff(s, again)), 0)
 	})
 }
+
+// Resolving runs for every service and failure domain at each new revision,
+// so its allocations must not grow with the number of fields.
+func BenchmarkResolve(b *testing.B) {
+	s := sample(b, "utility")
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := s.Resolve("/utility/ledger/yeka"); err != nil {
+			b.Fatal(err)
+		}
+	}
+	const maxAllocs = 12 // the source map, the lineage and the result
+	n := testing.AllocsPerRun(100, func() { _, _ = s.Resolve("/utility/ledger/yeka") })
+	assert.Assert(b, n <= maxAllocs, "%v allocations", n)
+}
--- a/pkg/conf/decode.go
+++ b/pkg/conf/decode.go
@@ -138,7 +138,7 @@
 func wanted(name string, t reflect.Type) string {
 	base := name[strings.LastIndexByte(name, '.')+1:]
 	bound := ""
-	for _, f := range Fields() {
+	for _, f := range fields {
 		if f.Name == base {
 			bound = " " + f.Bound()
 		}
--- a/pkg/conf/fields.go
+++ b/pkg/conf/fields.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -59,8 +60,13 @@
 		func(r *Resolved) *Duration { return (*Duration)(out(r)) })
 }
 
+// fields is made once, because Resolve runs for every path at each revision.
+var fields = makeFields()
+
 // Fields returns the inherited values with their ranges and defaults.
-func Fields() []Field {
+func Fields() []Field { return slices.Clone(fields) }
+
+func makeFields() []Field {
 	return []Field{
 		field("slots", "requests at once", 1, 1024, 2,
 			"Requests that one server runs at once.",
--- a/pkg/conf/resolve.go
+++ b/pkg/conf/resolve.go
@@ -81,8 +81,7 @@
 // Resolve returns every value in force at the path. A service's failure
 // domain needs no node of its own; every other node must exist.
 func (s *Snapshot) Resolve(path string) (Resolved, error) {
-	r := Resolved{Path: path, Source: map[string]string{}}
-	fields := Fields()
+	r := Resolved{Path: path, Source: make(map[string]string, len(fields)+2)}
 	for i := range fields {
 		fields[i].reset(&r)
 		r.Source[fields[i].Name] = SourceDefault
@@ -95,7 +94,7 @@
 			}
 			return Resolved{}, &PathError{path, p}
 		}
-		r.take(fields, p, &n.Values)
+		r.take(p, &n.Values)
 	}
 	return r, nil
 }
@@ -107,7 +106,7 @@
 	return ok && d.Half == Half(path)
 }
 
-func (r *Resolved) take(fields []Field, path string, v *Values) {
+func (r *Resolved) take(path string, v *Values) {
 	for i := range fields {
 		if fields[i].inherit(r, v) {
 			r.Source[fields[i].Name] = path
--- a/pkg/conf/valid.go
+++ b/pkg/conf/valid.go
@@ -87,7 +87,6 @@
 }
 
 func (c *check) values(r report, n *Node) {
-	fields := Fields()
 	for i := range fields {
 		f := &fields[i]
 		if f.isSet(&n.Values) && !f.within(&n.Values) {
