store: report the revision at which a removal was read back

Cause: after a lost answer Delete returned the expected revision plus one, which another write may hold. Change: readBack returns the revision of its list, and Delete passes it on. TestLostAnswerOverwritten covers a write that a later one hides. Ruled out: searching the events for the removal, which may no longer be kept.

--- a/emul/object/object_test.go
+++ b/emul/object/object_test.go
@@ -58,8 +58,11 @@
 	assert.Equal(t, b.Counters.Resolved.Load(), uint64(1))
 	assert.Equal(t, b.srv.Calls().Writes, uint64(1))
 	b.srv.SetFault(object.Fault{LoseAnswers: 1})
-	_, err := b.Delete(t.Context(), store.KindNode, name, 2)
+	b.put(t, store.KindKey, "k", 0, `{}`) // takes the lost answer, at revision 3
+	b.srv.SetFault(object.Fault{LoseAnswers: 1})
+	rev, err := b.Delete(t.Context(), store.KindNode, name, 2)
 	assert.NilError(t, err)
+	assert.Equal(t, rev, uint64(4))
 	var missing *store.NotFoundError
 	_, err = b.Get(t.Context(), store.KindNode, name)
 	assert.Assert(t, errors.As(err, &missing), "%v", err)
--- a/pkg/store/client_test.go
+++ b/pkg/store/client_test.go
@@ -108,3 +108,16 @@
 		})
 	}
 }
+
+// Guards against a lost answer that is reported as a plain conflict, or as
+// success, when a later write hides whether this one took effect.
+func TestLostAnswerOverwritten(t *testing.T) {
+	var waits []time.Duration
+	p := &platform{statuses: []int{-1, 200}, body: `{"rev":9,"objects":[{"kind":"node","name":"/x","rev":8,"value":{"edit":"other"}}]}`}
+	_, err := newClient(p, &waits).Put(t.Context(), store.KindNode, "/x", 3, []byte(`{}`))
+	var conflict *store.ConflictError
+	assert.Assert(t, errors.As(err, &conflict), "%v", err)
+	assert.Assert(t, conflict.Uncertain)
+	assert.Equal(t, conflict.Rev, uint64(8))
+	assert.Equal(t, string(conflict.Value), `{"edit":"other"}`)
+}
--- a/pkg/store/write.go
+++ b/pkg/store/write.go
@@ -24,12 +24,12 @@
 	if !uncertain(err) {
 		return newRev, c.explain(ctx, kind, name, err)
 	}
-	last, found, readErr := c.readBack(ctx, kind, name, rev)
+	last, at, readErr := c.readBack(ctx, kind, name, rev)
 	switch {
-	case found && last != nil && editOf(last.Value) == edit:
+	case at > 0 && last != nil && editOf(last.Value) == edit:
 		c.Counters.Resolved.Add(1)
 		return last.Rev, nil
-	case found:
+	case at > 0:
 		c.Counters.Unresolved.Add(1)
 		conflict := &ConflictError{Kind: kind, Name: name, Uncertain: true}
 		if last != nil {
@@ -41,19 +41,19 @@
 }
 
 // Delete removes an object if its current revision is rev, and returns the
-// revision of the removal. After a lost answer, an object that is absent at a
-// later revision counts as removed, whoever removed it.
+// revision of the removal. After a lost answer, an object that is absent counts
+// as removed, whoever removed it, and the revision is one that has the removal.
 func (c *Client) Delete(ctx context.Context, kind, name string, rev uint64) (uint64, error) {
 	newRev, err := c.write(ctx, http.MethodDelete, kind, name, rev, nil)
 	if !uncertain(err) {
 		return newRev, c.explain(ctx, kind, name, err)
 	}
-	last, found, readErr := c.readBack(ctx, kind, name, rev)
+	last, at, readErr := c.readBack(ctx, kind, name, rev)
 	switch {
-	case found && last == nil:
+	case at > 0 && last == nil:
 		c.Counters.Resolved.Add(1)
-		return rev + 1, nil
-	case found:
+		return at, nil
+	case at > 0:
 		c.Counters.Unresolved.Add(1)
 		return 0, &ConflictError{Kind: kind, Name: name, Rev: last.Rev, Value: last.Value, Uncertain: true}
 	}
@@ -92,25 +92,26 @@
 }
 
 // readBack reads an object until it is no longer the one at revision rev, and
-// returns it, or nil when it is absent. It lists by the object's name because a
+// returns it, or nil when it is absent, and the revision it was read at. That
+// revision is 0 when the object did not change. It lists by the object's name because a
 // list tells its revision: a replica that has not reached rev says nothing
 // about a write on top of it.
-func (c *Client) readBack(ctx context.Context, kind, name string, rev uint64) (*Object, bool, error) {
+func (c *Client) readBack(ctx context.Context, kind, name string, rev uint64) (*Object, uint64, error) {
 	c.rotate()
 	for try := 1; ; try++ {
 		c.Counters.ReadBacks.Add(1)
 		objs, at, err := c.list(ctx, kind+"/"+name)
 		if err != nil {
-			return nil, false, err
+			return nil, 0, err
 		}
 		if o := find(objs, name); at >= rev && changed(o, rev) {
-			return o, true, nil
+			return o, at, nil
 		}
 		if try >= max(c.Tries, 1) {
-			return nil, false, nil
+			return nil, 0, nil
 		}
 		if err := c.Sleep(ctx, c.pause(try)); err != nil {
-			return nil, false, err
+			return nil, 0, err
 		}
 	}
 }
