emul: count requests that the load tool skips

Cause: a run at its limit of requests in progress sent fewer requests than its rate without saying so. Change: Report.Skipped, in the text and JSON reports. Ruled out: queueing them, which would turn the rate into bursts. Conclusion: a load that was not offered is visible.

--- a/emul/caller/load.go
+++ b/emul/caller/load.go
@@ -127,6 +127,9 @@
 		select {
 		case slots <- struct{}{}:
 		default:
+			l.mu.Lock()
+			l.rep.Skipped++
+			l.mu.Unlock()
 			continue
 		}
 		c := l.Callers[n%len(l.Callers)]
--- a/emul/caller/report.go
+++ b/emul/caller/report.go
@@ -26,6 +26,9 @@
 	// Outcomes counts requests by outcome, Reasons those that were not done.
 	Outcomes map[string]uint64 `json:"outcomes"`
 	Reasons  map[string]uint64 `json:"reasons,omitempty"`
+	// Skipped counts requests that were due and not sent, because MaxInFlight
+	// were in progress.
+	Skipped uint64 `json:"skipped"`
 	// Latencies of done requests in microseconds.
 	P50 int64 `json:"p50us"`
 	P99 int64 `json:"p99us"`
@@ -126,9 +129,9 @@
 
 // WriteText prints the report for people.
 func (r *Report) WriteText(w io.Writer) error {
-	_, err := fmt.Fprintf(w, "requests  %v, not done: %v\nlatency   p50 %d us, p99 %d us, max %d us\n"+
+	_, err := fmt.Fprintf(w, "requests  %v, not done: %v, skipped: %d\nlatency   p50 %d us, p99 %d us, max %d us\n"+
 		"flows     %d opened, %d not opened, broken: %v\nechoes    %d of %d, %d gaps in the push feed\nfailures  %d\n",
-		r.Outcomes, r.Reasons, r.P50, r.P99, r.Max, r.Flows, r.NotOpened, r.Broken, r.Echoed, r.Keepalives, r.Gaps, r.Failed)
+		r.Outcomes, r.Reasons, r.Skipped, r.P50, r.P99, r.Max, r.Flows, r.NotOpened, r.Broken, r.Echoed, r.Keepalives, r.Gaps, r.Failed)
 	for _, f := range r.Failures {
 		if err == nil {
 			_, err = fmt.Fprintln(w, "  "+f)
