store: test a lost removal behind a lagging replica

Cause: no test failed when the read-back accepted a replica older than the revision that the write expects. Change: TestLostRemovalBehindCreation removes an object that the replica has not seen yet. Ruled out: a case in TestLostAnswerBehindReplica, whose object exists on the replica and hides the mistake. Conclusion: read-back does not trust a replica from before the object.

--- a/emul/object/object_test.go
+++ b/emul/object/object_test.go
@@ -85,6 +85,17 @@
 	assert.Equal(t, o.Rev, uint64(2))
 }
 
+// Guards against a replica that has not seen an object's creation, which makes
+// a removal whose answer was lost look as if it was confirmed.
+func TestLostRemovalBehindCreation(t *testing.T) {
+	b := newBench(t, 0)
+	rev := b.put(t, store.KindKey, "k", 0, `{}`)
+	b.srv.SetFault(object.Fault{LoseAnswers: 1, ReplicaLag: 2})
+	_, err := b.Delete(t.Context(), store.KindKey, "k", rev)
+	var un *store.UnavailableError
+	assert.Assert(t, errors.As(err, &un) && un.Uncertain, "%v", err)
+}
+
 // Guards against an update that overwrites another operator's edit.
 func TestConflict(t *testing.T) {
 	b := newBench(t, 0)
