member: probe members, spread updates and refute suspicions

Cause: instances need one view of who is alive, with each member's applied revision, at a cost that does not grow with the fleet.

Change: every instance probes one member each 500 ms from a shuffled list. A member is suspect 1 s and dead 3 s after the unanswered probe and refutes with a higher incarnation. A tick gap above 500 ms drops unanswered probes. Only answers to the instance's own nonce count, dated by the time of the probe, so repeated and late datagrams prove nothing recent.

--- /dev/null
+++ b/pkg/member/table.go
@@ -0,0 +1,185 @@
+// Package member keeps the membership of instances: it probes members, spreads
+// what it learns with the probes, and measures the clock offset to peers.
+package member
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"ebonypaddle/pkg/wire"
+)
+
+// Times of the protocol, counted from the probe that was not answered.
+const (
+	ProbeEvery   = 500 * time.Millisecond
+	SuspectAfter = time.Second
+	DeadAfter    = 3 * time.Second
+	// MaxTickGap is the longest gap between ticks that is not taken for a
+	// pause of this process. After a pause the missing answers say nothing
+	// about the peers.
+	MaxTickGap = ProbeEvery
+	// ForgetAfter exceeds the minutes for which regions lose each other, so
+	// that both sides still probe each other when they heal.
+	ForgetAfter = time.Hour
+)
+
+// Member is an entry of the table.
+type Member struct {
+	Update
+	// Since is when the state was entered, on the clock of this instance.
+	Since time.Time
+	// Heard is when the probe was sent that the member answered last.
+	Heard time.Time
+}
+
+// Hinter exchanges freshness hints with peers.
+type Hinter interface {
+	// Hint returns what this instance knows at now.
+	Hint(now time.Time) wire.Hint
+	// Heard takes a hint from an instance of the domain. The hint was made
+	// no earlier than asked.
+	Heard(now, asked time.Time, domain string, h wire.Hint)
+}
+
+// Counters of a table.
+type Counters struct {
+	Probes, Acks, UnknownNonce, Malformed, Refuted, Pauses, Suspected, Died uint64
+}
+
+// Table is the membership as one instance sees it. It is not safe for
+// concurrent use. The times passed to it must carry a monotonic reading or
+// otherwise not step; a step larger than the tick interval is taken for a
+// pause.
+type Table struct {
+	Self   netip.AddrPort
+	Domain string
+	Rand   *rand.Rand
+	// Hints may be nil.
+	Hints    Hinter
+	Counters Counters
+
+	me      Update
+	members map[netip.AddrPort]*Member
+	order   []*Member // shuffled
+	next    int
+	fill    int
+	pending []probe // in order of sending
+	suspect []*Member
+	dead    int
+	news    []item
+	skews   skews
+	last    time.Time
+	due     time.Time
+	deadDue time.Time
+	swept   time.Time
+}
+
+type probe struct {
+	nonce    uint64
+	to       netip.AddrPort
+	sent     time.Time
+	answered bool
+}
+
+// Start begins at now as a new incarnation. The clock makes a restarted
+// process's incarnation higher in general; where it does not, a peer's memory
+// of the previous process is refuted like a suspicion.
+func (t *Table) Start(now time.Time) {
+	t.me = Update{Addr: t.Self, Domain: t.Domain, Incarnation: uint64(max(1, now.UnixMilli())), State: Alive}
+	t.members = map[netip.AddrPort]*Member{}
+	t.last, t.due, t.swept = now, now, now
+}
+
+// Seed adds a member that the settings or the platform's list name. It is
+// probed like a dead one and becomes alive only by a heartbeat.
+func (t *Table) Seed(now time.Time, addr netip.AddrPort, domain string) {
+	if addr == t.Self || t.members[addr] != nil {
+		return
+	}
+	t.add(now, Update{Addr: addr, Domain: domain, State: Dead})
+}
+
+// SetRevision sets the revision of the settings this instance applied.
+func (t *Table) SetRevision(rev uint64) { t.me.Revision = max(t.me.Revision, rev) }
+
+// Leave announces the planned stop of this instance.
+func (t *Table) Leave() {
+	t.me.Leaving = true
+	t.me.Incarnation++
+	t.tell(t.me)
+}
+
+// Me returns what this instance says of itself.
+func (t *Table) Me() Update { return t.me }
+
+// Get returns a member.
+func (t *Table) Get(addr netip.AddrPort) (Member, bool) {
+	if m := t.members[addr]; m != nil {
+		return *m, true
+	}
+	return Member{}, false
+}
+
+// All returns all members but this instance in order of address.
+func (t *Table) All() []Member {
+	all := make([]Member, 0, len(t.members))
+	for _, m := range t.members {
+		all = append(all, *m)
+	}
+	slices.SortFunc(all, func(a, b Member) int { return a.Addr.Compare(b.Addr) })
+	return all
+}
+
+// Alive returns the live members of the domain and this instance if it
+// belongs there, in order of address. An empty domain stands for all. Suspect
+// members count as alive, leaving ones do not.
+func (t *Table) Alive(domain string) []netip.AddrPort {
+	var out []netip.AddrPort
+	if !t.me.Leaving && (domain == "" || domain == t.Domain) {
+		out = append(out, t.Self)
+	}
+	for a, m := range t.members {
+		if m.live() && !m.Leaving && (domain == "" || m.Domain == domain) {
+			out = append(out, a)
+		}
+	}
+	slices.SortFunc(out, netip.AddrPort.Compare)
+	return out
+}
+
+func (m *Member) live() bool { return m.State != Dead }
+
+func (t *Table) add(now time.Time, u Update) *Member {
+	m := &Member{Update: u, Since: now}
+	t.members[u.Addr] = m
+	i := t.Rand.IntN(len(t.order) + 1)
+	t.order = append(t.order, m)
+	if u.State == Dead {
+		t.dead++
+	} else if u.State == Suspect {
+		t.suspect = append(t.suspect, m)
+	}
+	last := len(t.order) - 1
+	t.order[i], t.order[last] = t.order[last], t.order[i]
+	return m
+}
+
+// set replaces an entry by an update and keeps the indexes.
+func (t *Table) set(now time.Time, m *Member, u Update) {
+	if u.State != m.State {
+		m.Since = now
+		if m.State == Dead {
+			t.dead--
+		}
+		switch u.State {
+		case Dead:
+			t.dead++
+		case Suspect:
+			t.suspect = append(t.suspect, m)
+		}
+	}
+	m.Update = u
+	t.tell(u)
+}
