admin: serve settings and operators over connect with plain CBOR types

Cause: instances pull settings that exceed a datagram, and operators need status, progress of an edit and a direct way to hand marks over.

Change: connect services with a generic CBOR codec, without generated code.

--- /dev/null
+++ b/pkg/admin/client.go
@@ -0,0 +1,80 @@
+package admin
+
+import (
+	"context"
+	"fmt"
+
+	"connectrpc.com/connect"
+)
+
+// Client calls the services of one instance.
+type Client struct {
+	// HTTP sends the requests; its timeout must not end a watch.
+	HTTP connect.HTTPClient
+	// URL is the base address of the instance's admin server.
+	URL string
+	// Key is the cluster key for Pull, the operator key for the rest.
+	Key string
+}
+
+// Pull returns what an instance at revision since lacks.
+func (c *Client) Pull(ctx context.Context, since uint64) (PullAnswer, error) {
+	return call[PullRequest, PullAnswer](ctx, c, pullPath, PullRequest{since})
+}
+
+// Status returns the state of the instance.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	return call[StatusRequest, Status](ctx, c, statusPath, StatusRequest{})
+}
+
+// Notify hands an accepted change over.
+func (c *Client) Notify(ctx context.Context, ch Change) (NotifyAnswer, error) {
+	return call[Change, NotifyAnswer](ctx, c, notifyPath, ch)
+}
+
+// Watch calls f with the progress of a revision until it is in force
+// everywhere, ctx ends or f returns false.
+func (c *Client) Watch(ctx context.Context, rev uint64, f func(Progress) bool) error {
+	cl, err := client[WatchRequest, Progress](c, watchPath)
+	if err != nil {
+		return err
+	}
+	req := connect.NewRequest(&WatchRequest{rev})
+	req.Header().Set("Authorization", "Bearer "+c.Key)
+	stream, err := cl.CallServerStream(ctx, req)
+	if err != nil {
+		return fmt.Errorf("watch revision %d at %s: %w", rev, c.URL, err)
+	}
+	defer stream.Close()
+	for stream.Receive() {
+		if !f(*stream.Msg()) {
+			return nil
+		}
+	}
+	if err := stream.Err(); err != nil {
+		return fmt.Errorf("watch revision %d at %s: %w", rev, c.URL, err)
+	}
+	return nil
+}
+
+func client[Req, Res any](c *Client, path string) (*connect.Client[Req, Res], error) {
+	cd, err := newCodec()
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewClient[Req, Res](c.HTTP, c.URL+path, connect.WithCodec(cd), connect.WithReadMaxBytes(MaxAnswer)), nil
+}
+
+func call[Req, Res any](ctx context.Context, c *Client, path string, req Req) (res Res, err error) {
+	cl, err := client[Req, Res](c, path)
+	if err != nil {
+		return res, err
+	}
+	r := connect.NewRequest(&req)
+	r.Header().Set("Authorization", "Bearer "+c.Key)
+	ans, err := cl.CallUnary(ctx, r)
+	if err != nil {
+		return res, fmt.Errorf("call %s at %s: %w", path, c.URL, err)
+	}
+	return *ans.Msg, nil
+}
--- /dev/null
+++ b/pkg/admin/codec.go
@@ -0,0 +1,52 @@
+// Package admin serves the settings exchange between instances and the
+// operators' API as connect services over plain Go types in CBOR.
+package admin
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// codec lets connect carry any Go type as CBOR.
+type codec struct {
+	enc cbor.EncMode
+	dec cbor.DecMode
+}
+
+func newCodec() (codec, error) {
+	opt := cbor.CoreDetEncOptions()
+	// Whole seconds, the default, would cut times.
+	opt.Time = cbor.TimeRFC3339Nano
+	enc, err := opt.EncMode()
+	if err != nil {
+		return codec{}, fmt.Errorf("CBOR encoder: %w", err)
+	}
+	dec, err := cbor.DecOptions{
+		DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
+	}.DecMode()
+	if err != nil {
+		return codec{}, fmt.Errorf("CBOR decoder: %w", err)
+	}
+	return codec{enc, dec}, nil
+}
+
+// Name is the content subtype of the codec.
+func (codec) Name() string { return "cbor" }
+
+// Marshal encodes a message.
+func (c codec) Marshal(v any) ([]byte, error) {
+	b, err := c.enc.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("encode %T: %w", v, err)
+	}
+	return b, nil
+}
+
+// Unmarshal decodes a message.
+func (c codec) Unmarshal(b []byte, v any) error {
+	if err := c.dec.Unmarshal(b, v); err != nil {
+		return fmt.Errorf("decode %T: %w", v, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/admin/types.go
@@ -0,0 +1,97 @@
+package admin
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"ebonypaddle/pkg/conf"
+)
+
+// Procedures of the services.
+const (
+	pullPath   = "/ebonypaddle.Settings/Pull"
+	statusPath = "/ebonypaddle.Operator/Status"
+	watchPath  = "/ebonypaddle.Operator/Watch"
+	notifyPath = "/ebonypaddle.Operator/Notify"
+)
+
+const (
+	// maxRequest bounds what a server reads in bytes; a notified mark is far
+	// smaller.
+	maxRequest = 64 << 10
+	// MaxAnswer bounds an answer in bytes; a snapshot is the largest.
+	MaxAnswer = 64 << 20
+)
+
+// PullRequest asks for what an instance at revision Since lacks.
+type PullRequest struct {
+	Since uint64
+}
+
+// PullAnswer holds an encoded dist.Delta, empty when nothing is lacking.
+type PullAnswer struct {
+	Rev   uint64
+	Delta []byte
+}
+
+// StatusRequest asks for the state of the instance.
+type StatusRequest struct{}
+
+// Status is what an instance knows of itself and of others.
+type Status struct {
+	Self       netip.AddrPort
+	Domain     string
+	Rev        uint64
+	CrossUntil time.Time
+	ClockSkew  time.Duration
+	Members    []Member
+	Counters   map[string]uint64
+}
+
+// Member is a row of the membership table.
+type Member struct {
+	Addr    netip.AddrPort
+	Domain  string
+	State   string
+	Leaving bool
+	Rev     uint64
+}
+
+// WatchRequest follows an edit until its revision is in force everywhere.
+type WatchRequest struct {
+	Rev uint64
+}
+
+// Progress tells where a revision is not in force yet.
+type Progress struct {
+	Rev     uint64
+	Done    bool
+	Missing []string
+}
+
+// Change is an accepted edit that the operators' client hands over directly.
+type Change struct {
+	Rev    uint64
+	Domain *conf.Domain `cbor:",omitempty"`
+	Server *conf.Server `cbor:",omitempty"`
+}
+
+// NotifyAnswer tells which revision is in force after a change was taken.
+type NotifyAnswer struct {
+	Rev uint64
+}
+
+// Puller gives settings to peers.
+type Puller interface {
+	Pull(ctx context.Context, since uint64) (PullAnswer, error)
+}
+
+// Operator answers operators.
+type Operator interface {
+	Status(ctx context.Context) (Status, error)
+	// Watch calls send with each change of the progress until the revision
+	// is in force everywhere or ctx ends.
+	Watch(ctx context.Context, rev uint64, send func(Progress) error) error
+	Notify(ctx context.Context, c Change) (NotifyAnswer, error)
+}
