pick: estimate the backlog of a server from answers and sheds

Cause: load reports lag, count this instance's own requests again, and a shed taught the instance nothing; the latency average contained the queue. Change: the service time follows short answers fast and long ones slowly; the excess of an answer over it, or a shed, gives the backlog, which is then worked off at half of the server's speed. Load reports no longer enter the wait. Ruled out: reports aged over 1 s (the version before).

--- a/pkg/pick/load.go
+++ b/pkg/pick/load.go
@@ -7,8 +7,9 @@
 	"ebonypaddle/pkg/wire"
 )
 
-// reportAge is the age at which a load report no longer counts.
-const reportAge = time.Second
+// workOff is the share of a server's speed by which a known backlog shrinks,
+// since other instances go on sending.
+const workOff = 0.5
 
 // Outcome is how work on a server ended.
 type Outcome uint8
@@ -30,26 +31,49 @@
 // Finished takes back a choice. A cold server's unit is free again only when
 // the server itself ended the work: after a timeout or a cancellation the
 // server may still run it until the deadline.
-func (p *Picker) Finished(_ time.Time, c Choice, res Result) {
+func (p *Picker) Finished(now time.Time, c Choice, res Result) {
 	r := p.rows[c.Server]
 	if r == nil || r.generation != c.Generation || c.Flow {
 		return
 	}
 	r.inFlight = max(r.inFlight-1, 0)
+	if res.Outcome == Shed {
+		r.backlog, r.backlogAt = float64(r.limits.warmLimit()), now
+	}
 	ended := res.Outcome == Done || res.Outcome == Shed
 	if c.Cold && ended && c.epoch == r.epoch {
 		r.coldUsed = max(r.coldUsed-1, 0)
 	}
 	if res.Outcome == Done {
-		r.learn(res.Latency)
+		r.learn(now, res.Latency)
 	}
 }
 
-func (r *row) learn(latency time.Duration) {
-	if r.latency == 0 {
+// learn separates an answer's latency into the service time and the backlog
+// that the request met. The estimate of the service time follows shorter
+// answers faster than longer ones, since waiting only adds to an answer.
+func (r *row) learn(now time.Time, latency time.Duration) {
+	switch {
+	case r.latency == 0:
 		r.latency = latency
+	case latency < r.latency:
+		r.latency += (latency - r.latency) / 4
+	default:
+		r.latency += (latency - r.latency) / 32
 	}
-	r.latency += (latency - r.latency) / 8
+	met := max(float64(latency)/float64(r.latency)-1, 0) * float64(r.limits.slots)
+	old := r.met(now)
+	r.backlog, r.backlogAt = old+(met-old)/2, now
+}
+
+// met is the backlog that the last answers and sheds revealed, less what the
+// server has worked off since.
+func (r *row) met(now time.Time) float64 {
+	if r.latency <= 0 {
+		return 0
+	}
+	done := float64(now.Sub(r.backlogAt)) / float64(r.latency) * float64(r.limits.slots) * workOff
+	return max(r.backlog-done, 0)
 }
 
 // Reported takes the load report of a frame from a server.
@@ -61,12 +85,7 @@
 
 // wait is the expected wait for a request sent now.
 func (r *row) wait(now time.Time) time.Duration {
-	age := max(now.Sub(r.loadAt), 0)
-	reported := 0.0
-	if age < reportAge {
-		reported = float64(r.load.InFlight) * (1 - float64(age)/float64(reportAge))
-	}
-	return time.Duration((float64(r.inFlight) + reported) * float64(r.latency) / float64(r.limits.slots))
+	return time.Duration((float64(r.inFlight) + r.met(now)) * float64(r.latency) / float64(r.limits.slots))
 }
 
 // acceptable is the wait up to which a server of the own failure domain comes
--- a/pkg/pick/picker.go
+++ b/pkg/pick/picker.go
@@ -55,10 +55,12 @@
 	offset     uint64
 	out, local bool
 
-	inFlight int
-	latency  time.Duration
-	load     wire.Load
-	loadAt   time.Time
+	inFlight  int
+	latency   time.Duration
+	load      wire.Load
+	loadAt    time.Time
+	backlog   float64
+	backlogAt time.Time
 
 	epoch    int64     // epoch of coldUsed and opened
 	coldUsed int       // units in use until the epoch ends
