pick: draw six candidates instead of two

Cause: one instance has less than one request in progress on most servers, so two candidates often both have a known backlog. Change: the best of six draws, with the same scan bound. Ruled out: a scan of all servers, which grows with the table.

--- a/pkg/pick/place.go
+++ b/pkg/pick/place.go
@@ -79,15 +79,20 @@
 	return p.take(now, ask, &best), wire.ReasonNone
 }
 
-// better returns the better of two random candidates.
+// moreDraws is the number of random candidates beside the first.
+const moreDraws = 5
+
+// better returns the best of a few random candidates.
 func (p *Picker) better(now time.Time, ask *Ask, rows []*row) (offer, wire.Reason) {
 	why := wire.ReasonNoServer
 	a, reason := p.draw(now, ask, rows, nil)
 	if a.row == nil {
 		return a, worse(why, reason)
 	}
-	if b, _ := p.draw(now, ask, rows, a.row); b.row != nil && b.wait < a.wait {
-		return b, wire.ReasonNone
+	for range moreDraws {
+		if b, _ := p.draw(now, ask, rows, a.row); b.row != nil && b.wait < a.wait {
+			a = b
+		}
 	}
 	return a, wire.ReasonNone
 }
