--- a/pkg/pick/load.go
+++ b/pkg/pick/load.go
@@ -90,4 +90,4 @@
 
 // acceptable is the wait up to which a server of the own failure domain comes
 // before all others.
-func (r *row) acceptable() time.Duration { return 0 }
+func (r *row) acceptable() time.Duration { return r.latency }
