pick: count work given of late in the score

Cause: at half load most waits are zero, and an own domain with much traffic kept its work although other domains were idle. Change: a server's score is its wait plus 0.05 s per second of work that this instance gave it within the last second; the own domain comes first while the score is below one service time.

--- a/pkg/pick/load.go
+++ b/pkg/pick/load.go
@@ -7,6 +7,13 @@
 	"ebonypaddle/pkg/wire"
 )
 
+// workAge is the time over which given work counts, and workWeight the wait
+// in seconds that one second of work adds to a server's score.
+const (
+	workAge    = time.Second
+	workWeight = 0.05
+)
+
 // workOff is the share of a server's speed by which a known backlog shrinks,
 // since other instances go on sending.
 const workOff = 0.5
@@ -88,6 +95,13 @@
 	return time.Duration((float64(r.inFlight) + r.met(now)) * float64(r.latency) / float64(r.limits.slots))
 }
 
+// worked is the time in slots that this instance gave the server within about
+// a second.
+func (r *row) worked(now time.Time) float64 {
+	age := float64(now.Sub(r.workAt)) / float64(workAge)
+	return r.work * max(1-age, 0)
+}
+
 // acceptable is the wait up to which a server of the own failure domain comes
 // before all others.
 func (r *row) acceptable() time.Duration { return r.latency }
--- a/pkg/pick/load_test.go
+++ b/pkg/pick/load_test.go
@@ -13,8 +13,8 @@
 	// goodput is the answers in time over the lesser of requests and
 	// capacity; peak is the maximum over the mean of the servers' utilisation
 	// and spread its coefficient of variation.
-	goodput, peak, spread, retries float64
-	p99                            time.Duration
+	goodput, peak, spread, retries, local float64
+	p99                                   time.Duration
 }
 
 func measure(policy string, rate float64, seed uint64) figures {
@@ -34,10 +34,12 @@
 	f.goodput = float64(s.good) / min(capacity, float64(s.requests))
 	slices.Sort(s.latencies)
 	f.p99 = s.latencies[len(s.latencies)*99/100]
-	var spent, earned uint64
+	var spent, earned, local, placed uint64
 	for _, b := range s.instances {
 		spent, earned = spent+b.budget.Spent, earned+b.budget.Earned
+		local, placed = local+b.Local, placed+b.Placed
 	}
+	f.local = float64(local) / float64(max(placed, 1))
 	f.retries = float64(spent) / float64(earned)
 	return f
 }
@@ -54,6 +56,7 @@
 				b.ReportMetric(f.peak, "max/mean")
 				b.ReportMetric(f.spread, "cv")
 				b.ReportMetric(float64(f.p99.Milliseconds()), "p99-ms")
+				b.ReportMetric(f.local, "local")
 				b.ReportMetric(f.retries, "retries")
 			})
 		}
--- a/pkg/pick/picker.go
+++ b/pkg/pick/picker.go
@@ -60,6 +60,8 @@
 	load      wire.Load
 	loadAt    time.Time
 	backlog   float64
+	work      float64
+	workAt    time.Time
 	backlogAt time.Time
 
 	epoch    int64     // epoch of coldUsed and opened
--- a/pkg/pick/place.go
+++ b/pkg/pick/place.go
@@ -46,8 +46,11 @@
 	row      *row
 	deadline time.Time
 	wait     time.Duration
-	cold     bool
-	epoch    int64
+	// score orders candidates: the wait plus the work given of late, which
+	// spreads load when all waits are near zero.
+	score time.Duration
+	cold  bool
+	epoch int64
 }
 
 // Place chooses a server. Without one it returns the reason: the most
@@ -61,9 +64,9 @@
 		return Choice{}, wire.ReasonDeadline
 	}
 	best, why := p.better(now, ask, svc.own)
-	if best.row == nil || best.wait > best.row.acceptable() {
+	if best.row == nil || best.score > best.row.acceptable() {
 		if far, reason := p.better(now, ask, svc.other); far.row != nil {
-			if best.row == nil || far.wait < best.wait {
+			if best.row == nil || far.score < best.score {
 				best = far
 			}
 		} else {
@@ -90,7 +93,7 @@
 		return a, worse(why, reason)
 	}
 	for range moreDraws {
-		if b, _ := p.draw(now, ask, rows, a.row); b.row != nil && b.wait < a.wait {
+		if b, _ := p.draw(now, ask, rows, a.row); b.row != nil && b.score < a.score {
 			a = b
 		}
 	}
@@ -162,6 +165,7 @@
 		return o, wire.ReasonOverloaded
 	}
 	o.wait = r.wait(now)
+	o.score = o.wait + time.Duration(r.worked(now)*workWeight)
 	return o, wire.ReasonNone
 }
 
@@ -241,6 +245,7 @@
 		r.flowAt = now.Add(time.Second / time.Duration(r.limits.coldFlows<<min(stage, 8)))
 	} else {
 		r.inFlight++
+		r.work, r.workAt = r.worked(now)+float64(r.latency)/float64(r.limits.slots), now
 		if o.cold {
 			r.coldUsed++
 		}
