--- a/pkg/pick/load_test.go
+++ b/pkg/pick/load_test.go
@@ -3,9 +3,16 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ebonypaddle/pkg/server"
+	"ebonypaddle/pkg/wire"
 )
 
 // figures are measured over the time after the warm-up.
@@ -62,3 +69,116 @@
 		}
 	}
 }
+
+// Guards against collapse above capacity, retry storms, and a balance worse
+// than that of the baselines.
+func TestLoadBounds(t *testing.T) {
+	for seed := range uint64(3) {
+		for _, rate := range []float64{0.5, 0.9, 1.2, 2} {
+			t.Run(fmt.Sprintf("%d/%v", seed, rate), func(t *testing.T) {
+				got := measure("picker", rate, seed)
+				least, random := measure("leastInFlight", rate, seed), measure("random", rate, seed)
+				assert.Assert(t, got.goodput >= 0.9, "%+v", got)
+				assert.Assert(t, got.retries <= 0.1, "%+v", got)
+				assert.Assert(t, got.spread < random.spread, "%+v against %+v", got, random)
+				assert.Assert(t, rate > 1 || got.spread < least.spread && got.p99 < least.p99, "%+v against %+v", got, least)
+			})
+		}
+	}
+}
+
+// Guards against work for a server that fell into cold start silently: when
+// every instance knows, no more than the highest total may be in progress. It
+// must be warm again in time, also when only places of its own domain live.
+func TestSilentFall(t *testing.T) {
+	for name, c := range map[string]struct {
+		id, instances int
+		rate          float64
+		within        time.Duration
+	}{
+		"fast":      {0, 8, 0.9, 10 * time.Second},
+		"slow":      {1, 8, 0.9, 20 * time.Second},
+		"cut off":   {0, 2, 0.1, 20 * time.Second},
+		"one place": {0, 1, 0.1, 40 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSim("picker", 1)
+			s.instances, s.cut = s.instances[:c.instances], c.instances < 8
+			s.load(c.rate)
+			s.run(5 * time.Second)
+			be := s.backends[c.id]
+			be.boot, be.coldDone = 2, 60
+			known, warm := time.Duration(0), 0
+			for s.now = 5 * time.Second; warm < c.instances || known == 0; {
+				s.run(s.now + 5*time.Millisecond)
+				total := 0
+				if total, warm = s.view(c.id); known == 0 && warm == 0 {
+					known = s.now
+				}
+				busy := be.busy + len(be.queue)
+				assert.Assert(t, known == 0 || warm > 0 || s.now < known+callerFor || busy <= total, "%d of %d at %v", busy, total, s.now)
+				assert.Assert(t, s.now < 5*time.Second+c.within, "not warm at %v", s.now)
+			}
+			t.Logf("known to all after %v, warm after %v", known-5*time.Second, s.now-5*time.Second)
+			assert.Assert(t, known < 5500*time.Millisecond, "known at %v", known)
+		})
+	}
+}
+
+// Guards against allocation in Place, and against rows too large for 140,000
+// servers within 256 MB, which is 1,880 bytes a server.
+func TestPlaceCost(t *testing.T) {
+	for _, n := range []int{18, 500, 6400} {
+		before := heapInUse()
+		p, tab := warmPicker(n)
+		perServer := float64(int64(heapInUse())-int64(before)) / float64(n)
+		place, finish := placeOnce(p)
+		allocs := testing.AllocsPerRun(100, func() { finish(place()) })
+		t.Logf("%d servers: %.0f bytes a server, %v allocations", n, perServer, allocs)
+		assert.Equal(t, allocs, 0.0)
+		assert.Assert(t, n < 500 || perServer < 1880, "%v bytes a server", perServer)
+		runtime.KeepAlive(tab)
+	}
+}
+
+func heapInUse() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// warmPicker returns a picker over n warm servers.
+func warmPicker(n int) (*Picker, *server.Table) {
+	cfg := settings(n)
+	tab := &server.Table{Rand: rand.New(rand.NewPCG(1, 1))}
+	tab.Apply(begin, cfg)
+	p := &Picker{Entry: "a0", Domain: "a", Servers: tab, Rand: tab.Rand}
+	p.Apply(begin, cfg)
+	for _, rec := range cfg.Servers {
+		f := wire.Frame{Kind: wire.KindProbed, Service: 7, Server: rec.ID, Generation: 1, Boot: 1}
+		tab.Heard(begin, rec.Addr, &f, 0)
+		tab.Merge(begin, []server.Update{{Server: rec.ID, Generation: 1, Boot: 1, Stage: 3, Heard: begin.UnixMilli()}})
+	}
+	return p, tab
+}
+
+func placeOnce(p *Picker) (func() Choice, func(Choice)) {
+	now := begin.Add(time.Millisecond)
+	ask := &Ask{Service: 7, Deadline: now.Add(time.Second), CrossUntil: now.Add(time.Second)}
+	return func() Choice { c, _ := p.Place(now, ask); return c },
+		func(c Choice) { p.Finished(now, c, Result{Outcome: Done, Latency: 10 * time.Millisecond}) }
+}
+
+func BenchmarkPlace(b *testing.B) {
+	for _, n := range []int{18, 500, 6400} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p, _ := warmPicker(n)
+			place, finish := placeOnce(p)
+			b.ReportAllocs()
+			for b.Loop() {
+				finish(place())
+			}
+		})
+	}
+}
--- a/pkg/pick/sim_test.go
+++ b/pkg/pick/sim_test.go
@@ -39,7 +39,6 @@
 	useful   time.Duration // time in slots for answers in time
 	boot     uint64
 	coldDone int // answers still to give before it is warm again
-	peakCold int // most in progress while every instance knows that it is cold
 	history  []int
 }
 
@@ -55,6 +54,7 @@
 type sim struct {
 	r         *rand.Rand
 	policy    string
+	cut       bool // instances are not fresh for other domains
 	queue     events
 	now       time.Duration
 	seq       int
@@ -108,6 +108,7 @@
 		s.now = e.at
 		e.do()
 	}
+	s.now = until
 }
 
 // tick answers probes and records the loads that reports show 300 ms later.
@@ -147,7 +148,7 @@
 	}
 	var arrive func()
 	arrive = func() {
-		b := s.instances[[]int{0, 1, 2, 2, 3, 3, 4, 4, 4, 5, 5, 5, 6, 6, 6, 6, 7, 7, 7, 7}[s.r.IntN(20)]]
+		b := s.instances[[]int{0, 1, 2, 2, 3, 3, 4, 4, 4, 5, 5, 5, 6, 6, 6, 6, 7, 7, 7, 7}[s.r.IntN(20)]%len(s.instances)]
 		if s.now > simWarmup {
 			s.requests++
 		}
@@ -165,6 +166,9 @@
 
 func (s *sim) try(b *balancer, q *request) {
 	q.ask.CrossUntil, q.ask.ColdUntil = s.clock().Add(fresh), s.clock().Add(fresh)
+	if s.cut {
+		q.ask.CrossUntil = s.clock()
+	}
 	c, reason := s.choose(b, q)
 	if reason != wire.ReasonNone {
 		if s.now > simWarmup {
@@ -240,9 +244,6 @@
 	default:
 		s.after(hop, func() { end(Shed) })
 	}
-	if be.coldDone > 0 {
-		be.peakCold = max(be.peakCold, be.busy+len(be.queue))
-	}
 }
 
 // choose applies the policy under test: ours or a baseline.
@@ -269,3 +270,16 @@
 	}
 	return Choice{Server: conf.ServerID(best + 1), Generation: 1, Deadline: deadline}, wire.ReasonNone
 }
+
+// view returns the highest total among the instances' views of a server, and
+// how many of them see it warm.
+func (s *sim) view(id int) (total, warm int) {
+	for _, b := range s.instances {
+		n, _, ready := b.table.Stage(conf.ServerID(id + 1))
+		total = max(total, n)
+		if ready {
+			warm++
+		}
+	}
+	return total, warm
+}
