core, daemon: thin whole path as separate processes

Cause: the decisions existed as packages without a process around them. Ruled out: placing work on a server before every instance knows it (conf.EffectAfter), which broke flows in the comparison of the flow package.

--- /dev/null
+++ b/ebonyctl/client/fleet.go
@@ -0,0 +1,112 @@
+package client
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"ebonypaddle/pkg/admin"
+	"ebonypaddle/pkg/conf"
+)
+
+// Fleet asks running instances over their admin service.
+type Fleet struct {
+	// Addrs are admin addresses, such as 10.0.0.1:7002.
+	Addrs []string
+	// Key is the operator key.
+	Key    []byte
+	Client *http.Client
+}
+
+// errNoInstance reports that no address was given or none answered.
+var errNoInstance = errors.New("no instance answered")
+
+func (f *Fleet) client(addr string) *admin.Client {
+	if !strings.Contains(addr, "://") {
+		addr = "http://" + addr
+	}
+	return &admin.Client{HTTP: f.Client, URL: addr, Key: hex.EncodeToString(f.Key)}
+}
+
+// each calls do for every instance and fails only if it failed for all.
+func (f *Fleet) each(do func(c *admin.Client) error) error {
+	last := errNoInstance
+	ok := false
+	for _, a := range f.Addrs {
+		if err := do(f.client(a)); err != nil {
+			last = fmt.Errorf("%w: %w", errNoInstance, err)
+			continue
+		}
+		ok = true
+	}
+	if ok {
+		return nil
+	}
+	return last
+}
+
+// Status implements Instances.
+func (f *Fleet) Status(ctx context.Context) ([]Status, error) {
+	var out []Status
+	err := f.each(func(c *admin.Client) error {
+		s, err := c.Status(ctx)
+		if err != nil {
+			return err
+		}
+		out = append(out, Status{
+			Entry: s.Entry, Domain: s.Domain, Rev: s.Rev, Flows: s.Flows, Servers: s.Servers, Refused: s.Counters,
+		})
+		return nil
+	})
+	return out, err
+}
+
+// Watch implements Instances. The first instance that answers speaks for all.
+func (f *Fleet) Watch(ctx context.Context, rev uint64) (Progress, error) {
+	last := errNoInstance
+	for _, a := range f.Addrs {
+		var p Progress
+		err := f.client(a).Watch(ctx, rev, func(m admin.Progress) bool {
+			p = Progress{Reached: m.Reached, Missing: m.Missing}
+			return false
+		})
+		if err == nil {
+			return p, nil
+		}
+		last = fmt.Errorf("%w: %w", errNoInstance, err)
+	}
+	return Progress{}, last
+}
+
+// Notify implements Instances.
+func (f *Fleet) Notify(ctx context.Context, change conf.Object) (int, error) {
+	ch := admin.Change{Rev: change.Rev}
+	switch change.Kind {
+	case conf.KindDomain:
+		d, problems := conf.Decode[conf.Domain](change.Kind, change.Name, change.Value)
+		if len(problems) > 0 {
+			return 0, problems
+		}
+		ch.Domain = &d
+	case conf.KindServer:
+		s, problems := conf.Decode[conf.Server](change.Kind, change.Name, change.Value)
+		if len(problems) > 0 {
+			return 0, problems
+		}
+		ch.Server = &s
+	default:
+		return 0, fmt.Errorf("a change of kind %s cannot be handed over directly", change.Kind)
+	}
+	n := 0
+	err := f.each(func(c *admin.Client) error {
+		_, err := c.Notify(ctx, ch)
+		if err == nil {
+			n++
+		}
+		return err
+	})
+	return n, err
+}
--- a/ebonyctl/cmd/ebonyctl/main.go
+++ b/ebonyctl/cmd/ebonyctl/main.go
@@ -4,7 +4,8 @@
 import (
 	"context"
 	crand "crypto/rand"
-	"errors"
+	"encoding/base64"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -13,7 +14,6 @@
 
 	"ebonypaddle/ebonyctl/client"
 	"ebonypaddle/ebonyctl/verbs"
-	"ebonypaddle/pkg/conf"
 )
 
 // callTime bounds one call of the object API.
@@ -52,21 +52,12 @@
 	return &client.HTTP{Base: base, Client: &http.Client{Timeout: callTime}}, nil
 }
 
-// dialInstances returns a client of the instances' admin service.
-func dialInstances([]string, string) (client.Instances, error) {
-	return unreachable{}, nil
-}
-
-// errNoAdmin reports that this build speaks no admin protocol.
-var errNoAdmin = errors.New("this build has no client for the admin service of instances")
-
-// unreachable answers as if no instance were reachable.
-type unreachable struct{}
-
-func (unreachable) Status(context.Context) ([]client.Status, error) { return nil, errNoAdmin }
-
-func (unreachable) Watch(context.Context, uint64) (client.Progress, error) {
-	return client.Progress{}, errNoAdmin
+// dialInstances returns a client of the instances' admin service. The key is
+// the operator key in base64, as in the process settings.
+func dialInstances(addrs []string, key string) (client.Instances, error) {
+	raw, err := base64.StdEncoding.DecodeString(key)
+	if err != nil {
+		return nil, fmt.Errorf("operator key: %w", err)
+	}
+	return &client.Fleet{Addrs: addrs, Key: raw, Client: &http.Client{Timeout: callTime}}, nil
 }
-
-func (unreachable) Notify(context.Context, conf.Object) (int, error) { return 0, errNoAdmin }
--- a/emul/cmd/ebonyemu/main.go
+++ b/emul/cmd/ebonyemu/main.go
@@ -29,7 +29,7 @@
 	app := &cli.Command{
 		Name:     "ebonyemu",
 		Usage:    "stand-ins for the platform of ebonypaddle, and a load tool",
-		Commands: []*cli.Command{objectCommand(), fabricCommand(), serverCommand(), callerCommand()},
+		Commands: []*cli.Command{objectCommand(), fabricCommand(), serverCommand(), callerCommand(), planCommand()},
 	}
 	return app.Run(ctx, os.Args)
 }
--- /dev/null
+++ b/emul/cmd/ebonyemu/plan.go
@@ -0,0 +1,149 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/netip"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"ebonypaddle/emul/server"
+	"ebonypaddle/pkg/conf"
+	"ebonypaddle/pkg/store"
+)
+
+// planCommand derives the inputs of the stand-ins and daemons from a settings
+// file, so that a local run needs one file only.
+func planCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "plan",
+		Usage: "print inputs for a local run of a settings file",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Required: true},
+			&cli.StringFlag{Name: "print", Usage: "objects, servers, entries, services or process", Required: true},
+			&cli.StringFlag{Name: "entry", Usage: "entry place, for process"},
+			&cli.StringFlag{Name: "object-api", Value: "127.0.0.1:7400"},
+			&cli.DurationFlag{Name: "mean", Usage: "service time of the fastest server", Value: 4 * time.Millisecond},
+		},
+		Action: runPlan,
+	}
+}
+
+func runPlan(_ context.Context, cmd *cli.Command) error {
+	raw, err := os.ReadFile(cmd.String("settings"))
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	snap, problems := conf.DecodeSnapshot(raw)
+	if len(problems) > 0 {
+		return problems
+	}
+	var out any
+	switch cmd.String("print") {
+	case "objects":
+		out, err = seedObjects(snap)
+	case "servers":
+		out, err = servers(snap, cmd.Duration("mean"))
+	case "process":
+		out, err = process(snap, cmd.String("entry"), cmd.String("object-api"))
+	case "entries":
+		for _, e := range entries(snap) {
+			fmt.Println(e.Name, e.Admin)
+		}
+		return nil
+	case "services":
+		for _, path := range slices.Sorted(maps.Keys(snap.Nodes)) {
+			if a := snap.Nodes[path].Values.Address; a != nil {
+				fmt.Println(path, a)
+			}
+		}
+		return nil
+	default:
+		err = fmt.Errorf("print: %q is none of objects, servers, entries, services, process", cmd.String("print"))
+	}
+	if err != nil {
+		return err
+	}
+	enc := json.NewEncoder(os.Stdout)
+	enc.SetIndent("", "  ")
+	return enc.Encode(out)
+}
+
+func seedObjects(snap *conf.Snapshot) ([]store.Object, error) {
+	objs, err := snap.Objects()
+	if err != nil {
+		return nil, err
+	}
+	var out []store.Object
+	for _, o := range objs {
+		out = append(out, store.Object{Kind: string(o.Kind), Name: o.Name, Value: o.Value})
+	}
+	return out, nil
+}
+
+// speedSteps are the service times of servers relative to the fastest; back
+// ends were bought over years.
+var speedSteps = [...]int{1, 2, 4, 8}
+
+func servers(snap *conf.Snapshot, mean time.Duration) ([]server.Config, error) {
+	var out []server.Config
+	for i, name := range slices.Sorted(maps.Keys(snap.Servers)) {
+		rec := snap.Servers[name]
+		r, err := snap.Resolve(rec.Service + "/" + rec.Domain)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, server.Config{
+			Service: r.ServiceID, ID: rec.ID, Generation: rec.Generation, Addr: rec.Addr,
+			Slots: r.Slots, Queue: r.Slots * (r.QueuePerSlot + 1), Connections: r.Connections,
+			Mean: conf.Duration(mean * time.Duration(speedSteps[i%len(speedSteps)])), Distribution: "exponential",
+			ColdFactor: 3, ColdTime: conf.Duration(r.ColdTime), ColdSlots: r.ColdSlots,
+			Push: conf.Duration(pushEvery),
+		})
+	}
+	return out, nil
+}
+
+// pushEvery is the interval of the feed on open flows.
+const pushEvery = time.Second
+
+func entries(snap *conf.Snapshot) []conf.Entry {
+	var out []conf.Entry
+	for _, name := range slices.Sorted(maps.Keys(snap.Domains)) {
+		out = append(out, snap.Domains[name].Entries...)
+	}
+	return out
+}
+
+// Keys of local runs; they protect nothing.
+var (
+	localClusterKey  = []byte("ebonypaddle local cluster key 32")
+	localOperatorKey = []byte("ebonypaddle local operator key")
+)
+
+func process(snap *conf.Snapshot, entry, objectAPI string) (*conf.Process, error) {
+	api, err := netip.ParseAddrPort(objectAPI)
+	if err != nil {
+		return nil, fmt.Errorf("object-api: %w", err)
+	}
+	p := &conf.Process{ObjectAPI: []netip.AddrPort{api}, ClusterKey: localClusterKey, OperatorKey: localOperatorKey, Logs: map[string]string{}}
+	for _, d := range snap.Domains {
+		for _, e := range d.Entries {
+			if e.Name == entry {
+				p.Entry, p.Half, p.Domain = e.Name, d.Half, d.Name
+				p.Data, p.Peer, p.Admin = e.Data, e.Peer, e.Admin
+			} else {
+				p.Peers = append(p.Peers, e.Admin)
+			}
+		}
+	}
+	if p.Entry == "" {
+		return nil, fmt.Errorf("entry: %q is no entry place", entry)
+	}
+	return p, nil
+}
--- a/pkg/admin/count.go
+++ b/pkg/admin/count.go
@@ -67,3 +67,11 @@
 		next.ServeHTTP(recorder{rw, &s.Refusals}, r)
 	})
 }
+
+// Map returns the counters by name.
+func (r *Refusals) Map() map[string]uint64 {
+	return map[string]uint64{
+		"noKey": r.NoKey.Load(), "wrongKey": r.WrongKey.Load(), "tooLarge": r.TooLarge.Load(),
+		"malformed": r.Malformed.Load(), "failed": r.Failed.Load(),
+	}
+}
--- a/pkg/admin/types.go
+++ b/pkg/admin/types.go
@@ -40,13 +40,19 @@
 
 // Status is what an instance knows of itself and of others.
 type Status struct {
+	// Entry is the name of the instance's entry place.
+	Entry      string
 	Self       netip.AddrPort
 	Domain     string
 	Rev        uint64
 	CrossUntil time.Time
 	ClockSkew  time.Duration
 	Members    []Member
-	Counters   map[string]uint64
+	// Servers holds the lifecycle state of each backend server by name.
+	Servers map[string]string
+	// Flows counts the flows this instance opened.
+	Flows    uint64
+	Counters map[string]uint64
 }
 
 // Member is a row of the membership table.
@@ -67,9 +73,19 @@
 type Progress struct {
 	Rev     uint64
 	Done    bool
+	Reached []string
 	Missing []string
 }
 
+// Add records one place.
+func (p *Progress) Add(place string, reached bool) {
+	if reached {
+		p.Reached = append(p.Reached, place)
+	} else {
+		p.Missing = append(p.Missing, place)
+	}
+}
+
 // Change is an accepted edit that the operators' client hands over directly.
 type Change struct {
 	Rev    uint64
--- a/pkg/calls/table.go
+++ b/pkg/calls/table.go
@@ -16,6 +16,8 @@
 	Service conf.ServiceID
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
+	// Once says that the request has a single attempt.
+	Once bool
 	// Avoid is the server of the previous attempt, or 0.
 	Avoid conf.ServerID
 }
@@ -27,6 +29,8 @@
 	Addr       netip.AddrPort
 	// Until limits the deadline of the frame; zero means no limit.
 	Until time.Time
+	// Choice is the placer's own record of the placement.
+	Choice any
 }
 
 // Result is how an attempt ended.
--- /dev/null
+++ b/pkg/core/caller.go
@@ -0,0 +1,180 @@
+package core
+
+import (
+	"net/netip"
+	"time"
+
+	"ebonypaddle/pkg/conf"
+	"ebonypaddle/pkg/flow"
+	"ebonypaddle/pkg/pick"
+	"ebonypaddle/pkg/wire"
+)
+
+// HandleCaller decides what happens to a frame from a caller. The result is
+// valid until the next call.
+func (c *Core) HandleCaller(now time.Time, p *wire.Packet) []wire.Send {
+	c.out.Reset()
+	c.lastPkt = now
+	c.via[p.Service] = p.Via
+	switch p.Frame.Kind {
+	case wire.KindOpen, wire.KindData, wire.KindClose:
+		c.route(now, p, c.Router.Route(now, p))
+		c.Router.Flush(&c.out)
+	case wire.KindRequest, wire.KindCancel:
+		c.request(now, p)
+	default:
+		c.Stats.Dropped.Add(wire.ReasonMalformed)
+	}
+	return c.out.Sends
+}
+
+func (c *Core) request(now time.Time, p *wire.Packet) {
+	if c.snap == nil {
+		c.refuse(p, wire.ReasonNoSettings)
+		return
+	}
+	svc, ok := c.Router.Service(p.Service)
+	if !ok {
+		c.refuse(p, wire.ReasonUnknownService)
+		return
+	}
+	if p.Frame.Kind == wire.KindCancel {
+		c.Calls.HandleCancel(now, svc, p, &c.out)
+		return
+	}
+	c.Calls.HandleRequest(now, svc, p, &c.out)
+}
+
+// refuse answers a frame that this instance sends nowhere. A request may have
+// run through another instance before, so its outcome is unknown.
+func (c *Core) refuse(p *wire.Packet, why wire.Reason) {
+	c.Stats.Refused.Add(why)
+	f := wire.Frame{Kind: wire.KindRefusal, Flow: p.Frame.Flow, ID: p.Frame.ID, Reason: why}
+	if p.Frame.Kind == wire.KindRequest {
+		f.Outcome = wire.OutcomeUnknown
+	}
+	c.toCaller(p, f)
+}
+
+func (c *Core) toCaller(p *wire.Packet, f wire.Frame) {
+	c.out.Caller(&wire.Packet{Caller: p.Caller, Service: p.Service, Via: p.Via, Frame: f})
+}
+
+// route carries out the decision of the router for a frame of a flow.
+func (c *Core) route(now time.Time, p *wire.Packet, rt flow.Route) {
+	switch rt.Verdict {
+	case flow.Hold:
+	case flow.Place:
+		c.open(now, p)
+	case flow.Forward:
+		if rt.Stateless && p.Frame.Kind == wire.KindOpen {
+			c.openOn(now, p, rt.Server)
+			return
+		}
+		c.forward(now, p, rt.Server, rt.Generation)
+	case flow.Refuse:
+		c.refuseFlow(now, p, rt.Reason)
+	}
+}
+
+// open places a new flow.
+func (c *Core) open(now time.Time, p *wire.Packet) {
+	svc, _ := c.Router.Service(p.Service)
+	ask := c.ask(now, svc, true, c.deadline(now, svc, p.Frame.Timeout))
+	ch, why := c.Picker.Place(now, &ask)
+	if why != wire.ReasonNone {
+		c.refuse(p, why)
+		return
+	}
+	c.toServer(p, ch.Addr, ch.Server, ch.Generation, ch.Deadline)
+}
+
+// openOn admits a new flow of a caller without token to the server of its
+// bucket. A server in cold start takes such flows within its quota only.
+func (c *Core) openOn(now time.Time, p *wire.Packet, id conf.ServerID) {
+	svc, _ := c.Router.Service(p.Service)
+	ask := c.ask(now, svc, true, c.deadline(now, svc, p.Frame.Timeout))
+	ask.Only = id
+	ch, why := c.Picker.Place(now, &ask)
+	if why != wire.ReasonNone {
+		c.refuse(p, why)
+		return
+	}
+	c.toServer(p, ch.Addr, ch.Server, ch.Generation, ch.Deadline)
+}
+
+// forward sends a frame of an established flow to its server. It does not
+// allocate.
+func (c *Core) forward(now time.Time, p *wire.Packet, id conf.ServerID, generation uint32) {
+	t, ok := c.addrs[id]
+	if !ok {
+		c.Stats.Dropped.Add(wire.ReasonServerGone)
+		return
+	}
+	until, ok := c.Servers.Confirmed(now, id)
+	if !ok {
+		c.Stats.Dropped.Add(wire.ReasonUnconfirmed)
+		return
+	}
+	if t.domain != c.Domain {
+		cross := c.Fresh.CrossUntil(now)
+		if !now.Before(cross) {
+			c.Stats.Dropped.Add(wire.ReasonNotFresh)
+			return
+		}
+		if cross.Before(until) {
+			until = cross
+		}
+	}
+	c.toServer(p, t.addr, id, generation, until)
+}
+
+// toServer sends a caller's frame to a server in the caller's name.
+func (c *Core) toServer(p *wire.Packet, to netip.AddrPort, id conf.ServerID, generation uint32, deadline time.Time) {
+	svc, _ := c.Router.Service(p.Service)
+	q := *p
+	q.Frame.Token = nil
+	q.Frame.Service, q.Frame.Server, q.Frame.Generation = svc, id, generation
+	q.Frame.SetDeadline(deadline)
+	c.out.Server(to, &q)
+}
+
+// refuseFlow handles a frame that the router refuses. Flows that ended are
+// closed towards the caller; a frame whose token does not open is dropped,
+// since another instance may have the key. An instance that is not fresh drops
+// as well: its view that a server is gone may be old.
+func (c *Core) refuseFlow(now time.Time, p *wire.Packet, why wire.Reason) {
+	if p.Frame.Kind == wire.KindOpen {
+		c.refuse(p, why)
+		return
+	}
+	switch why {
+	case wire.ReasonDomainOut, wire.ReasonServerGone:
+		if why == wire.ReasonServerGone && !now.Before(c.Fresh.CrossUntil(now)) {
+			c.Stats.Dropped.Add(wire.ReasonNotFresh)
+			return
+		}
+		c.Stats.Closed.Add(why)
+		c.toCaller(p, wire.Frame{Kind: wire.KindClosed, Flow: p.Frame.Flow, Reason: why})
+	default:
+		c.Stats.Dropped.Add(why)
+	}
+}
+
+// ask describes new work to the picker.
+func (c *Core) ask(now time.Time, svc conf.ServiceID, isFlow bool, deadline time.Time) pick.Ask {
+	return pick.Ask{
+		Service: svc, Flow: isFlow, Deadline: deadline,
+		CrossUntil: c.Fresh.CrossUntil(now), ColdUntil: c.coldUntil(now),
+	}
+}
+
+// deadline is when the caller stops waiting, at most the service's request
+// time away.
+func (c *Core) deadline(now time.Time, svc conf.ServiceID, timeout uint32) time.Time {
+	d := c.limits[svc].RequestTime
+	if t := time.Duration(timeout) * time.Millisecond; t > 0 && t < d {
+		d = t
+	}
+	return now.Add(d)
+}
--- /dev/null
+++ b/pkg/core/control.go
@@ -0,0 +1,277 @@
+package core
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"ebonypaddle/pkg/calls"
+	"ebonypaddle/pkg/conf"
+	"ebonypaddle/pkg/dist"
+	"ebonypaddle/pkg/flow"
+	"ebonypaddle/pkg/member"
+	"ebonypaddle/pkg/server"
+	"ebonypaddle/pkg/wire"
+)
+
+const (
+	// defaultFreshFor holds until settings say otherwise.
+	defaultFreshFor = 3 * time.Second
+	// stagesEvery is the interval at which stages are repeated to
+	// stagePeers random peers; a change goes to maxUrgent peers at once.
+	stagesEvery = time.Second
+	stagePeers  = 2
+	maxUrgent   = 32
+	// membersEvery is the interval at which the views of members are renewed.
+	membersEvery = 200 * time.Millisecond
+)
+
+// control is the state of the exchange with other instances.
+type control struct {
+	spread    dist.Spread
+	marks     map[string]Mark
+	membersAt time.Time
+	stagesAt  time.Time
+	alive     []netip.AddrPort
+	// acked is when the latest probe was sent that a peer answered.
+	acked    time.Time
+	maxSkew  time.Duration
+	freshFor time.Duration
+}
+
+func (c *Core) startControl(now time.Time) {
+	c.Replica = &dist.Replica{}
+	c.Fresh = &dist.Freshness{Domain: c.Domain, FreshFor: defaultFreshFor}
+	c.Members = &member.Table{Self: c.Entry.Peer, Domain: c.Domain, Rand: c.rnd, Hints: c.Fresh}
+	c.Members.Start(now)
+	c.ctl = control{marks: map[string]Mark{}, freshFor: defaultFreshFor}
+	c.ctl.spread = dist.Spread{
+		Self: c.Entry.Peer, Replica: c.Replica,
+		Members: func() []netip.AddrPort { return c.Members.Alive("") },
+	}
+}
+
+// applyControl takes the entry places and times that the exchange needs.
+func (c *Core) applyControl(now time.Time, snap *conf.Snapshot) {
+	var in []string
+	for _, d := range snap.Domains {
+		if d.Half != c.Half {
+			continue
+		}
+		if d.Mark != conf.MarkOut {
+			in = append(in, d.Name)
+		}
+		for _, e := range d.Entries {
+			c.Members.Seed(now, e.Peer, d.Name)
+		}
+	}
+	slices.Sort(in)
+	if r, err := snap.Resolve("/" + c.Half); err == nil {
+		c.ctl.freshFor, c.ctl.maxSkew = r.FreshFor, r.MaxClockSkew
+		c.Fresh.FreshFor = r.FreshFor
+		c.Calls.TicketTime = r.TicketTime
+	}
+	c.Fresh.SetApplied(snap.Rev, in)
+	c.Members.SetRevision(snap.Rev)
+}
+
+// OfferSettings takes a snapshot that the platform gave in answer to a question
+// sent at asked. It reports whether a higher revision was put in force.
+func (c *Core) OfferSettings(now, asked time.Time, snap *conf.Snapshot) ([]wire.Send, bool, error) {
+	c.out.Reset()
+	old := c.Replica.Rev()
+	moved := c.Replica.Offer(snap)
+	var err error
+	if moved {
+		err = c.applyCurrent(now)
+		c.ctl.spread.Changed(old, &c.out)
+	}
+	c.Fresh.Confirm(now, asked, snap.Rev)
+	return c.out.Sends, moved, err
+}
+
+// OfferDelta takes a delta pulled from a peer over TCP.
+func (c *Core) OfferDelta(now time.Time, d dist.Delta) ([]wire.Send, error) {
+	c.out.Reset()
+	old := c.Replica.Rev()
+	if c.Replica.Apply(d) != dist.Moved {
+		return nil, nil
+	}
+	err := c.applyCurrent(now)
+	c.ctl.spread.Changed(old, &c.out)
+	return c.out.Sends, err
+}
+
+// ConfirmSettings takes the platform's word that its settings are at rev.
+func (c *Core) ConfirmSettings(now, asked time.Time, rev uint64) { c.Fresh.Confirm(now, asked, rev) }
+
+func (c *Core) applyCurrent(now time.Time) error {
+	snap := c.withMarks(c.Replica.Current())
+	if c.snap != nil && snap.Rev > c.snap.Rev {
+		c.Log.Info("settings in force", "rev", snap.Rev)
+	}
+	return c.apply(now, snap)
+}
+
+// IsReader reports whether this instance watches the platform for its failure
+// domain.
+func (c *Core) IsReader() bool {
+	return dist.IsReader(c.Entry.Peer, c.Domain, c.Members.Alive(c.Domain))
+}
+
+// Bulk returns once the peer from which settings are to be pulled over TCP.
+func (c *Core) Bulk() (netip.AddrPort, bool) { return c.ctl.spread.Bulk() }
+
+// HandlePeer takes a control message of another instance. The result is valid
+// until the next call.
+func (c *Core) HandlePeer(now time.Time, from netip.AddrPort, kind wire.PeerKind, body []byte) []wire.Send {
+	c.out.Reset()
+	var err error
+	switch kind {
+	case wire.PeerHeartbeat:
+		err = handle(body, func(m member.Message) {
+			c.Members.Receive(now, from, m, &c.out)
+			c.ctl.spread.Lead(now, from, m.Self.Revision, &c.out)
+		})
+	case wire.PeerSettings:
+		err = handle(body, func(m dist.Message) {
+			if c.ctl.spread.Receive(now, from, m, &c.out) {
+				if err := c.applyCurrent(now); err != nil {
+					c.Log.Error("settings of a peer refused", "from", from, "err", err)
+				}
+			}
+		})
+	case wire.PeerStages:
+		err = handle(body, func(u []server.Update) { c.Servers.Merge(now, u) })
+	case wire.PeerRelay:
+		err = handle(body, func(m calls.Relay) { c.Calls.HandleRelay(now, from, m, &c.out) })
+	case wire.PeerRelayAck:
+		err = handle(body, func(m calls.RelayAck) { c.Calls.HandleRelayAck(from, m) })
+	case wire.PeerNote:
+		err = handle(body, func(n flow.Note) { c.Router.HandleNote(now, n) })
+	case wire.PeerQuestion:
+		err = handle(body, func(q flow.Question) { c.out.Peer(from, wire.PeerReply, c.Router.HandleQuestion(now, q)) })
+	case wire.PeerReply:
+		err = handle(body, func(r flow.Reply) { c.release(now, c.Router.HandleReply(now, r)) })
+	case wire.PeerMark:
+		err = handle(body, func(m Mark) { c.takeMark(now, m) })
+	}
+	if err != nil {
+		c.Stats.Dropped.Add(wire.ReasonMalformed)
+	}
+	return c.out.Sends
+}
+
+// handle decodes a body and passes it on.
+func handle[T any](body []byte, f func(T)) error {
+	v, err := wire.DecodePeer[T](body)
+	if err != nil {
+		return err
+	}
+	f(v)
+	return nil
+}
+
+func (c *Core) release(now time.Time, rs []flow.Released) {
+	for i := range rs {
+		c.route(now, &rs[i].Packet, rs[i].Route)
+	}
+}
+
+// Tick runs the systems over the tables. The result is valid until the next
+// call.
+func (c *Core) Tick(now time.Time) []wire.Send {
+	c.out.Reset()
+	c.Members.Tick(now, &c.out)
+	c.viewMembers(now)
+	if c.snap != nil {
+		c.probe(now)
+		c.sendStages(now)
+		c.Calls.Tick(now, &c.out)
+		c.release(now, c.Router.Tick(now))
+		c.Router.Flush(&c.out)
+	}
+	return c.out.Sends
+}
+
+// viewMembers renews what other tables know of the live instances.
+func (c *Core) viewMembers(now time.Time) {
+	if now.Sub(c.ctl.membersAt) < membersEvery && !now.Before(c.ctl.membersAt) {
+		return
+	}
+	c.ctl.membersAt = now
+	c.ctl.alive = c.Members.Alive("")
+	owners := make([]flow.Member, 0, len(c.ctl.alive))
+	for _, a := range c.ctl.alive {
+		owners = append(owners, flow.Member{Name: a.String(), Peer: a})
+	}
+	c.Router.SetMembers(owners)
+	c.ctl.acked = time.Time{}
+	for _, m := range c.Members.All() {
+		if m.Heard.After(c.ctl.acked) {
+			c.ctl.acked = m.Heard
+		}
+	}
+}
+
+// coldUntil returns the time until which this instance may send to servers in
+// cold start: it is fresh, peers answer at its address, which no other process
+// can hold at the same time, and its clock agrees with theirs.
+func (c *Core) coldUntil(now time.Time) time.Time {
+	until := c.Fresh.CrossUntil(now)
+	if skew, ok := c.Members.ClockSkew(); ok && skew.Abs() > c.ctl.maxSkew {
+		return time.Time{}
+	}
+	if len(c.ctl.alive) > 1 || !c.ctl.acked.IsZero() {
+		if heard := c.ctl.acked.Add(c.ctl.freshFor); heard.Before(until) {
+			until = heard
+		}
+	}
+	return until
+}
+
+func (c *Core) probe(now time.Time) {
+	c.probes = c.Servers.Probes(now, c.probes[:0])
+	for _, p := range c.probes {
+		q := wire.Packet{Caller: c.Entry.Data, Service: c.Entry.Data}
+		q.Frame = wire.Frame{Kind: wire.KindProbe, Service: p.Service, Server: p.Server, Generation: p.Generation}
+		q.Frame.SetDeadline(now.Add(time.Second))
+		c.out.Server(p.Addr, &q)
+	}
+}
+
+// sendStages tells peers the stages of servers: changes at once to all, the
+// rest in turn to a few.
+func (c *Core) sendStages(now time.Time) {
+	urgent := c.Servers.Urgent()
+	if !urgent && now.Sub(c.ctl.stagesAt) < stagesEvery {
+		return
+	}
+	c.ctl.stagesAt = now
+	c.updates = c.Servers.Updates(c.updates[:0])
+	if len(c.updates) == 0 {
+		return
+	}
+	n := stagePeers
+	if urgent {
+		n = maxUrgent
+	}
+	peers := slices.DeleteFunc(slices.Clone(c.ctl.alive), func(a netip.AddrPort) bool { return a == c.Entry.Peer })
+	c.rnd.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, a := range peers[:min(n, len(peers))] {
+		c.out.Peer(a, wire.PeerStages, slices.Clone(c.updates))
+	}
+}
+
+// Leave begins the planned stop: peers hear of it and no new ticket is issued.
+func (c *Core) Leave() {
+	c.leaving = true
+	c.Members.Leave()
+	c.Calls.Leave()
+}
+
+// Idle reports whether a leaving instance has nothing left to do: no ticket is
+// alive and no packet came for quiet.
+func (c *Core) Idle(now time.Time, quiet time.Duration) bool {
+	return c.Calls.Idle() && now.Sub(c.lastPkt) >= quiet
+}
--- /dev/null
+++ b/pkg/daemon/admin.go
@@ -0,0 +1,158 @@
+package daemon
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"ebonypaddle/pkg/admin"
+	"ebonypaddle/pkg/conf"
+	"ebonypaddle/pkg/core"
+	"ebonypaddle/pkg/member"
+)
+
+const (
+	// headerTime bounds the wait for the header of an admin request.
+	headerTime = 5 * time.Second
+	// watchEvery is the interval at which a watch reports.
+	watchEvery = 200 * time.Millisecond
+)
+
+// errNoSettings reports a pull before this instance has settings.
+var errNoSettings = errors.New("this instance has no settings yet")
+
+// clusterToken is the form in which the cluster key authorises a pull.
+func clusterToken(p *conf.Process) string { return hex.EncodeToString(p.ClusterKey) }
+
+// OperatorToken is the form in which the operator key authorises operators.
+func OperatorToken(key []byte) string { return hex.EncodeToString(key) }
+
+func (d *Daemon) serveAdmin(ctx context.Context) (*http.Server, error) {
+	s := &admin.Server{
+		Puller: d, Operator: d,
+		ClusterKey: clusterToken(d.Process), OperatorKey: OperatorToken(d.Process.OperatorKey),
+	}
+	d.admin = s
+	h, err := s.Handler()
+	if err != nil {
+		return nil, fmt.Errorf("admin services: %w", err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/", h)
+	if d.Debug != nil {
+		mux.Handle("/debug/vars", d.Debug)
+	}
+	l, err := net.Listen("tcp", d.Process.Admin.String())
+	if err != nil {
+		return nil, fmt.Errorf("admin address: %w", err)
+	}
+	srv := &http.Server{
+		Handler: mux, ReadHeaderTimeout: headerTime,
+		BaseContext: func(net.Listener) context.Context { return ctx },
+	}
+	go func() {
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			d.log.Error("admin server ended", "err", err)
+		}
+	}()
+	return srv, nil
+}
+
+// Pull implements admin.Puller.
+func (d *Daemon) Pull(_ context.Context, since uint64) (admin.PullAnswer, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	rev := d.core.Replica.Rev()
+	if rev == 0 {
+		return admin.PullAnswer{}, errNoSettings
+	}
+	delta, ok := d.core.Replica.Delta(since)
+	if !ok {
+		return admin.PullAnswer{Rev: rev}, nil
+	}
+	b, err := delta.Encode()
+	return admin.PullAnswer{Rev: rev, Delta: b}, err
+}
+
+// Status implements admin.Operator.
+func (d *Daemon) Status(context.Context) (admin.Status, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Clock()
+	skew, _ := d.core.Members.ClockSkew()
+	s := admin.Status{
+		Entry: d.Process.Entry, Self: d.Process.Peer, Domain: d.Process.Domain, Rev: d.core.Replica.Rev(),
+		CrossUntil: d.core.Fresh.CrossUntil(now), ClockSkew: skew,
+		Servers: d.core.ServerStates(), Counters: d.Stats.Map(),
+	}
+	for _, m := range d.core.Members.All() {
+		s.Members = append(s.Members, admin.Member{
+			Addr: m.Addr, Domain: m.Domain, State: m.State.String(), Leaving: m.Leaving, Rev: m.Revision,
+		})
+	}
+	return s, nil
+}
+
+// Notify implements admin.Operator.
+func (d *Daemon) Notify(_ context.Context, c admin.Change) (admin.NotifyAnswer, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.send(d.core.TakeMark(d.Clock(), core.Mark{Rev: c.Rev, Domain: c.Domain, Server: c.Server}))
+	return admin.NotifyAnswer{Rev: d.core.Replica.Rev()}, nil
+}
+
+// Watch implements admin.Operator.
+func (d *Daemon) Watch(ctx context.Context, rev uint64, send func(admin.Progress) error) error {
+	t := time.NewTicker(watchEvery)
+	defer t.Stop()
+	for {
+		p := d.progress(rev)
+		if err := send(p); err != nil || p.Done {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		}
+	}
+}
+
+// forgetDead is how long a place counts as missing after its instance died.
+const forgetDead = 30 * time.Second
+
+// progress names the places that do not have a revision in force. A place
+// counts until its instance has been dead for forgetDead.
+func (d *Daemon) progress(rev uint64) admin.Progress {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Clock()
+	p := admin.Progress{Rev: rev}
+	snap := d.core.Snapshot()
+	if snap == nil {
+		p.Missing = []string{d.Process.Entry}
+		return p
+	}
+	for _, dom := range snap.Domains {
+		if dom.Half != d.Process.Half {
+			continue
+		}
+		for _, e := range dom.Entries {
+			if e.Peer == d.Process.Peer {
+				p.Add(e.Name, d.core.Replica.Rev() >= rev)
+				continue
+			}
+			m, ok := d.core.Members.Get(e.Peer)
+			gone := ok && m.State == member.Dead && now.Sub(m.Since) >= forgetDead
+			if !gone {
+				p.Add(e.Name, ok && m.State != member.Dead && m.Revision >= rev)
+			}
+		}
+	}
+	p.Done = len(p.Missing) == 0
+	return p
+}
--- /dev/null
+++ b/pkg/daemon/counter.go
@@ -0,0 +1,43 @@
+package daemon
+
+import "sync/atomic"
+
+// Counters count what the shell does.
+type Counters struct {
+	// PeerBytesIn and PeerBytesOut are the bytes of control datagrams.
+	PeerBytesIn, PeerBytesOut atomic.Uint64
+	// Pulls, PullErrors, Reads and ReadErrors count exchanges of settings
+	// with peers and with the object API.
+	Pulls, PullErrors, Reads, ReadErrors atomic.Uint64
+	// SettingsRefused counts snapshots that were not applied.
+	SettingsRefused atomic.Uint64
+}
+
+// Map returns the counters by name.
+func (c *Counters) Map() map[string]uint64 {
+	return map[string]uint64{
+		"peerBytesIn": c.PeerBytesIn.Load(), "peerBytesOut": c.PeerBytesOut.Load(),
+		"pulls": c.Pulls.Load(), "pullErrors": c.PullErrors.Load(),
+		"reads": c.Reads.Load(), "readErrors": c.ReadErrors.Load(),
+		"settingsRefused": c.SettingsRefused.Load(),
+	}
+}
+
+// Tables returns the counters and sizes of the core's tables by package.
+func (d *Daemon) Tables() map[string]any {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.core == nil {
+		return nil
+	}
+	c := d.core
+	return map[string]any{
+		"flow": c.Router.Counters, "member": c.Members.Counters, "dist": c.Replica.Counters,
+		"calls": c.Calls.Size(),
+		"server": struct{ Falls, Mismatches, Suspected, StaleUpdates uint64 }{
+			c.Servers.Falls, c.Servers.Mismatches, c.Servers.Suspected, c.Servers.StaleUpdates,
+		},
+		"pick":  struct{ Placed, Local, Cold uint64 }{c.Picker.Placed, c.Picker.Local, c.Picker.Cold},
+		"admin": d.admin.Refusals.Map(),
+	}
+}
--- /dev/null
+++ b/pkg/daemon/daemon.go
@@ -0,0 +1,247 @@
+// Package daemon is the shell around the core: sockets, timers, the reader of
+// the object API and the admin server. It takes no decisions.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"ebonypaddle/pkg/admin"
+	"ebonypaddle/pkg/conf"
+	"ebonypaddle/pkg/core"
+	"ebonypaddle/pkg/logs"
+	"ebonypaddle/pkg/stats"
+	"ebonypaddle/pkg/store"
+	"ebonypaddle/pkg/wire"
+)
+
+const (
+	// tickEvery is the interval of the core's systems.
+	tickEvery = 20 * time.Millisecond
+	// maxDatagram is the largest datagram in bytes that is read.
+	maxDatagram = 2048
+	// socketBuffer in bytes holds a burst of about 10,000 packets while the
+	// process does not run.
+	socketBuffer = 4 << 20
+)
+
+// Daemon runs one instance. The exported fields are set before Run.
+type Daemon struct {
+	Process *conf.Process
+	// Clock is the wall clock.
+	Clock func() time.Time
+	// Seed makes random choices that need no secrecy.
+	Seed uint64
+	Logs *logs.Switch
+	// Store reads and writes the platform's object API.
+	Store *store.Client
+	// Stats counts by reason; Counters counts the rest.
+	Stats    *stats.Counters
+	Counters *Counters
+	// Debug serves the published counters; it may be nil.
+	Debug http.Handler
+
+	mu     sync.Mutex
+	core   *core.Core
+	sealer wire.Sealer
+	data   *net.UDPConn
+	peer   *net.UDPConn
+	log    *slog.Logger
+	admin  *admin.Server
+	reader bool
+}
+
+// Run serves until ctx ends and then stops gracefully: it finishes requests in
+// progress and keeps its tickets until they have expired.
+func (d *Daemon) Run(ctx context.Context) error {
+	if err := d.start(); err != nil {
+		return err
+	}
+	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var wg sync.WaitGroup
+	wg.Go(func() { d.readData() })
+	wg.Go(func() { d.readPeer() })
+	wg.Go(func() { d.tick(run) })
+	wg.Go(func() { d.readSettings(run) })
+	admin, err := d.serveAdmin(run)
+	if err != nil {
+		cancel()
+		d.close()
+		wg.Wait()
+		return err
+	}
+	d.announce(run, stateLive)
+	<-ctx.Done()
+	d.leave(run)
+	cancel()
+	d.close()
+	err = admin.Close()
+	wg.Wait()
+	return err
+}
+
+func (d *Daemon) start() error {
+	d.log = d.Logs.Logger("daemon")
+	if d.Stats == nil {
+		d.Stats = &stats.Counters{}
+	}
+	if d.Counters == nil {
+		d.Counters = &Counters{}
+	}
+	d.sealer.Rand = rand.Reader
+	if err := d.sealer.SetKey(d.Process.ClusterKey); err != nil {
+		return err
+	}
+	var err error
+	if d.data, err = listen(d.Process.Data); err != nil {
+		return fmt.Errorf("data address: %w", err)
+	}
+	if d.peer, err = listen(d.Process.Peer); err != nil {
+		_ = d.data.Close()
+		return fmt.Errorf("peer address: %w", err)
+	}
+	p := d.Process
+	d.core = &core.Core{
+		Entry: conf.Entry{Name: p.Entry, Data: p.Data, Peer: p.Peer, Admin: p.Admin},
+		Half:  p.Half, Domain: p.Domain, Seed: d.Seed, Nonces: rand.Reader,
+		Log: d.Logs.Logger("core"), Stats: d.Stats,
+	}
+	d.core.Start(d.Clock())
+	return nil
+}
+
+func listen(a netip.AddrPort) (*net.UDPConn, error) {
+	c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(a))
+	if err != nil {
+		return nil, err
+	}
+	if err := c.SetReadBuffer(socketBuffer); err != nil {
+		return nil, fmt.Errorf("read buffer of %d bytes: %w", socketBuffer, err)
+	}
+	return c, nil
+}
+
+func (d *Daemon) close() {
+	_ = d.data.Close()
+	_ = d.peer.Close()
+}
+
+// readData handles packets of callers and backend servers.
+func (d *Daemon) readData() {
+	buf := make([]byte, maxDatagram)
+	for {
+		n, from, err := d.data.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		var p wire.Packet
+		if err := wire.Decode(buf[:n], &p); err != nil {
+			d.countMalformed(err)
+			continue
+		}
+		p.Via = unmap(from)
+		d.mu.Lock()
+		d.send(d.core.Handle(d.Clock(), p.Via, &p))
+		d.mu.Unlock()
+	}
+}
+
+func (d *Daemon) countMalformed(err error) {
+	why := wire.ReasonMalformed
+	var de *wire.DecodeError
+	if errors.As(err, &de) {
+		why = de.Reason
+	}
+	d.Stats.Dropped.Add(why)
+}
+
+// readPeer handles control messages of other instances.
+func (d *Daemon) readPeer() {
+	buf := make([]byte, maxDatagram)
+	for {
+		n, from, err := d.peer.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		d.Counters.PeerBytesIn.Add(uint64(n))
+		d.mu.Lock()
+		kind, body, err := d.sealer.Open(buf[:n])
+		if err != nil {
+			d.Stats.Dropped.Add(wire.ReasonForgedPeer)
+		} else {
+			d.send(d.core.HandlePeer(d.Clock(), unmap(from), kind, body))
+		}
+		d.mu.Unlock()
+	}
+}
+
+func unmap(a netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+}
+
+func (d *Daemon) tick(ctx context.Context) {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		d.mu.Lock()
+		d.send(d.core.Tick(d.Clock()))
+		d.mu.Unlock()
+	}
+}
+
+// send encodes and sends what the core decided. The caller holds mu.
+func (d *Daemon) send(sends []wire.Send) {
+	for i := range sends {
+		s := &sends[i]
+		var err error
+		switch s.Target {
+		case wire.ToPeer:
+			err = d.sendPeer(s)
+		case wire.ToCaller, wire.ToServer:
+			err = d.sendPacket(s)
+		}
+		if err != nil {
+			d.Stats.Dropped.Add(wire.ReasonSendFailed)
+		}
+	}
+}
+
+func (d *Daemon) sendPeer(s *wire.Send) error {
+	b, err := d.sealer.Seal(s.Peer)
+	if err != nil {
+		d.log.Error("control message not sent", "to", s.To, "err", err)
+		return err
+	}
+	d.Counters.PeerBytesOut.Add(uint64(len(b)))
+	_, err = d.peer.WriteToUDPAddrPort(b, s.To)
+	return err
+}
+
+func (d *Daemon) sendPacket(s *wire.Send) error {
+	b, err := wire.Encode(&s.Packet)
+	if err != nil {
+		return err
+	}
+	_, err = d.data.WriteToUDPAddrPort(b, s.To)
+	return err
+}
--- a/pkg/flow/bucket.go
+++ b/pkg/flow/bucket.go
@@ -19,10 +19,6 @@
 	// change. It exceeds twice the interval at which callers keep flows
 	// alive, so that every live flow has been seen.
 	settleTime = 2 * time.Minute
-	// effectAfter is the delay between the acceptance of a change and its
-	// effect on buckets. It is the bound within which settings are in force
-	// on every instance.
-	effectAfter = 4 * time.Second
 	// maxTables bounds the assignments of one service that are remembered,
 	// 16 KB each. With 4 of them, the fifth change within a minute broke the
 	// flows that still were on the server of the first.
@@ -76,7 +72,7 @@
 		if !b.runs() {
 			continue
 		}
-		settled := !now.Before(b.since.Add(effectAfter))
+		settled := !now.Before(b.since.Add(conf.EffectAfter))
 		if (b.mark == conf.MarkIn) == settled {
 			ids = append(ids, id)
 		}
@@ -111,7 +107,7 @@
 func (r *Router) nextChange(now time.Time, svc *service) time.Time {
 	var next time.Time
 	for _, id := range svc.members {
-		at := r.servers[id].since.Add(effectAfter)
+		at := r.servers[id].since.Add(conf.EffectAfter)
 		if at.After(now) && (next.IsZero() || at.Before(next)) {
 			next = at
 		}
@@ -162,7 +158,7 @@
 func (r *Router) firstTables(now time.Time, svc *service) []table {
 	changes := []time.Time{now}
 	for _, id := range svc.members {
-		if at := r.servers[id].since.Add(effectAfter); !r.servers[id].since.IsZero() && at.Before(now) {
+		if at := r.servers[id].since.Add(conf.EffectAfter); !r.servers[id].since.IsZero() && at.Before(now) {
 			changes = append(changes, at, at.Add(-time.Millisecond))
 		}
 	}
--- a/pkg/flow/router.go
+++ b/pkg/flow/router.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
-	"strings"
 	"time"
 
 	"ebonypaddle/pkg/conf"
@@ -144,7 +143,9 @@
 		if svc == nil {
 			continue
 		}
-		out, since := domainOf(snap, &s)
+		d, ok := snap.DomainOf(&s)
+		out := ok && d.Mark == conf.MarkOut
+		since := snap.MarkedSince(&s)
 		r.servers[s.ID] = backend{s.Generation, paths[s.Service], s.Mark, out, since}
 		svc.members = append(svc.members, s.ID)
 	}
@@ -153,28 +154,6 @@
 	}
 }
 
-// domainOf reports whether the server's failure domain is out, and when the
-// latest mark of server and domain was set.
-func domainOf(snap *conf.Snapshot, s *conf.Server) (out bool, since time.Time) {
-	since = s.Since
-	for _, d := range snap.Domains {
-		if d.Name != s.Domain || d.Half != halfOf(s.Service) {
-			continue
-		}
-		if d.Since.After(since) && s.Mark == conf.MarkIn {
-			since = d.Since
-		}
-		return d.Mark == conf.MarkOut, since
-	}
-	return false, since
-}
-
-// halfOf returns the first element of a node path.
-func halfOf(path string) string {
-	half, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
-	return half
-}
-
 // SetMembers replaces the live instances, which own the buckets in transition.
 func (r *Router) SetMembers(members []Member) {
 	r.members = append(r.members[:0], members...)
@@ -244,7 +223,7 @@
 // late refused the tokens of flows that others had opened on the new server.
 func (r *Router) Placeable(now time.Time, id conf.ServerID) bool {
 	b := r.servers[id]
-	return b.mark == conf.MarkIn && b.runs() && !now.Before(b.since.Add(effectAfter))
+	return b.mark == conf.MarkIn && b.runs() && !now.Before(b.since.Add(conf.EffectAfter))
 }
 
 // Opened returns the token of a new flow that was placed on a server.
--- a/pkg/pick/picker.go
+++ b/pkg/pick/picker.go
@@ -54,6 +54,9 @@
 	place      place
 	offset     uint64
 	out, local bool
+	// from is when every instance knows the server; before that, others
+	// refuse the tokens of flows opened on it.
+	from time.Time
 
 	inFlight  int
 	latency   time.Duration
@@ -92,6 +95,7 @@
 			r = &row{id: rec.ID, generation: rec.Generation, addr: rec.Addr, offset: offsetOf(rec.ID)}
 		}
 		r.limits, r.place = limitsFor(s, rec.Service+"/"+rec.Domain), places[key]
+		r.from = s.MarkedSince(&rec).Add(conf.EffectAfter)
 		r.local, r.out = rec.Domain == p.Domain, isOut(s, half, rec.Domain)
 		p.rows[rec.ID] = r
 		p.add(*n.Values.ServiceID, r)
--- a/pkg/pick/place.go
+++ b/pkg/pick/place.go
@@ -16,6 +16,11 @@
 	Flow bool
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
+	// Once asks for a request that has a single attempt, which may use the
+	// whole time that the caller waits.
+	Once bool
+	// Only, if not zero, is the only server that may be chosen.
+	Only conf.ServerID
 	// Tried are servers that must not be chosen again.
 	Tried []conf.ServerID
 	// CrossUntil is when this instance's freshness for other failure domains
@@ -133,6 +138,9 @@
 	if r.out {
 		return o, wire.ReasonDomainOut
 	}
+	if now.Before(r.from) || ask.Only != 0 && r.id != ask.Only {
+		return o, wire.ReasonNoServer
+	}
 	if !r.local {
 		if !now.Before(ask.CrossUntil) {
 			return o, wire.ReasonNotFresh
@@ -148,7 +156,9 @@
 	if !warm {
 		return p.offerCold(now, ask, o, total, stage)
 	}
-	o.limit(now.Add(r.limits.attempt))
+	if !ask.Once {
+		o.limit(now.Add(r.limits.attempt))
+	}
 	return o.offerWarm(now, ask)
 }
 
--- a/pkg/stats/stats.go
+++ b/pkg/stats/stats.go
@@ -44,3 +44,17 @@
 	// an answer, Retried repeated attempts, Closed flows given up.
 	Refused, Dropped, Retried, Closed ByReason
 }
+
+// Map returns the counters that are not zero, named by kind and reason, such
+// as refused.overloaded.
+func (c *Counters) Map() map[string]uint64 {
+	m := map[string]uint64{}
+	for kind, by := range map[string]*ByReason{
+		"refused": &c.Refused, "dropped": &c.Dropped, "retried": &c.Retried, "closed": &c.Closed,
+	} {
+		for reason, n := range by.Map() {
+			m[kind+"."+reason] = n
+		}
+	}
+	return m
+}
--- a/pkg/store/errors.go
+++ b/pkg/store/errors.go
@@ -55,6 +55,24 @@
 	Errors, Retries                        ByCause
 }
 
+// Map returns the counters that are not zero by name.
+func (c *Counters) Map() map[string]uint64 {
+	m := map[string]uint64{
+		"calls": c.Calls.Load(), "readBacks": c.ReadBacks.Load(),
+		"resolved": c.Resolved.Load(), "unresolved": c.Unresolved.Load(),
+	}
+	for cause := range causeEnd {
+		m["errors."+cause.String()] = c.Errors.Get(cause)
+		m["retries."+cause.String()] = c.Retries.Get(cause)
+	}
+	for k, n := range m {
+		if n == 0 {
+			delete(m, k)
+		}
+	}
+	return m
+}
+
 // ConflictError reports that a conditional write did not find its revision.
 type ConflictError struct {
 	Kind, Name string
