conf: keep released service addresses in quarantine

Cause: a service address that one change released could be taken by another service in the next, and an instance with old settings would then send the new service's callers to the old service. Change: a service node records the addresses that it gave up in released. A service node may be without an address once it has released one. Ruled out: refusing only the move within one change, as before, because two changes a second apart pass it. Conclusion: server and service addresses have the same quarantine. A settings file that changes a service address needs the record written by hand.

--- a/ebonyctl/verbs/write.go
+++ b/ebonyctl/verbs/write.go
@@ -25,6 +25,7 @@
 		// generation than the deleted one.
 		n = conf.Node{Path: path, Generation: st.snap.Rev + 1}
 	}
+	before := n.Values.Address
 	var ps conf.Problems
 	for _, arg := range cmd.Args().Tail() {
 		name, text, ok := strings.Cut(arg, "=")
@@ -36,6 +37,7 @@
 	if len(ps) > 0 {
 		return ps
 	}
+	n.Release(before, a.Now().UTC())
 	o, err := conf.Encode(conf.KindNode, path, n)
 	if err != nil {
 		return err
--- a/pkg/conf/change.go
+++ b/pkg/conf/change.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -23,7 +24,8 @@
 	c := check{snap: next}
 	c.out = Validate(next)
 	c.keyChanges(old, now)
-	c.nodeChanges(old)
+	c.nodeChanges(old, now)
+	c.releases(old, now)
 	c.serverChanges(old, now)
 	return c.out
 }
@@ -48,18 +50,18 @@
 	}
 }
 
-func (c *check) nodeChanges(old *Snapshot) {
+func (c *check) nodeChanges(old *Snapshot, now time.Time) {
 	holder := map[netip.AddrPort]string{}
 	for path, n := range old.Nodes {
-		if n.Values.Address != nil {
-			holder[*n.Values.Address] = path
+		for _, a := range inUse(&n, now) {
+			holder[a] = path
 		}
 	}
 	for _, path := range sortedNames(c.snap.Nodes) {
 		n, r := c.snap.Nodes[path], c.at(KindNode, path)
 		if a := n.Values.Address; a != nil {
 			if h, ok := holder[*a]; ok && h != path {
-				r.add("address", *a, fmt.Sprintf("released by node %q in an earlier change", h))
+				r.add("address", *a, fmt.Sprintf("released by node %q for %s", h, Quarantine))
 			}
 		}
 		was, ok := old.Nodes[path]
@@ -76,6 +78,61 @@
 	}
 }
 
+// inUse returns the node's address and those that it released less than the
+// quarantine ago.
+func inUse(n *Node, now time.Time) []netip.AddrPort {
+	var out []netip.AddrPort
+	if n.Values.Address != nil {
+		out = append(out, *n.Values.Address)
+	}
+	for _, r := range n.Released {
+		if now.Before(r.Since.Add(Quarantine)) {
+			out = append(out, r.Address)
+		}
+	}
+	return out
+}
+
+// releases checks that no address of a service is given up without a record,
+// and that no such record is dropped or shortened during the quarantine.
+func (c *check) releases(old *Snapshot, now time.Time) {
+	for _, path := range sortedNames(old.Nodes) {
+		was, r := old.Nodes[path], c.at(KindNode, path)
+		n, ok := c.snap.Nodes[path]
+		if addrs := inUse(&was, now); !ok && len(addrs) > 0 {
+			r.add("released", addrs[0], "released for "+Quarantine.String()+" before the node is deleted")
+		}
+		if !ok {
+			continue
+		}
+		next := map[netip.AddrPort]time.Time{}
+		for _, x := range n.Released {
+			next[x.Address] = x.Since
+		}
+		for _, x := range was.Released {
+			if now.Before(x.Since.Add(Quarantine)) && next[x.Address].Before(x.Since) && (n.Values.Address == nil || *n.Values.Address != x.Address) {
+				r.add("released", x.Address, "kept until its quarantine of "+Quarantine.String()+" ends")
+			}
+		}
+		a, b := was.Values.Address, n.Values.Address
+		if a != nil && (b == nil || *a != *b) && next[*a].Sub(now).Abs() > MaxSinceError {
+			r.add("released", *a, "recorded with a since within "+MaxSinceError.String()+" of "+stamp(now))
+		}
+	}
+}
+
+// Release records that the node gives up the address that it had before, and
+// drops the records that are out of quarantine. A node without an address
+// keeps them, which tells it from one whose address was forgotten.
+func (n *Node) Release(before *netip.AddrPort, now time.Time) {
+	n.Released = slices.DeleteFunc(slices.Clone(n.Released), func(r Release) bool {
+		return n.Values.Address != nil && !now.Before(r.Since.Add(Quarantine))
+	})
+	if a := n.Values.Address; before != nil && (a == nil || *a != *before) {
+		n.Released = append(n.Released, Release{*before, now})
+	}
+}
+
 func (c *check) serverChanges(old *Snapshot, now time.Time) {
 	byAddr := map[netip.AddrPort][]Server{}
 	byID := map[ServerID]string{}
--- a/pkg/conf/conf_test.go
+++ b/pkg/conf/conf_test.go
@@ -146,6 +146,19 @@
 				edit(s.Nodes, p, func(n *Node) { n.Values.EpochTime = ptr(Duration(2 * time.Second)) })
 			}
 		}},
+		{"node /koysipaja/order/fi-south-a attemptTime", func(s *Snapshot) {
+			edit(s.Nodes, "/koysipaja/order/fi-south-a", func(n *Node) { n.Values.AttemptTime = ptr(Duration(5 * time.Second)) })
+		}},
+		{"node /koysipaja/order/yeka path", func(s *Snapshot) { s.Nodes[order+"/yeka"] = Node{Path: order + "/yeka"} }},
+		{"node /koysipaja address", func(s *Snapshot) {
+			edit(s.Nodes, "/koysipaja", func(n *Node) { n.Values.Address = ptr(netip.MustParseAddrPort("10.1.1.1:1")) })
+		}},
+		{"server spare addr", func(s *Snapshot) {
+			v := s.Servers["order-02"]
+			edit(s.Servers, "order-02", func(v *Server) { v.Mark, v.Since = MarkRemoved, start })
+			v.ID, v.Name, v.Service, v.Since = 99, "spare", "/koysipaja/intake", start.Add(Quarantine-1)
+			s.Servers["spare"] = v
+		}},
 		{"node /lost/x path", func(s *Snapshot) {
 			s.Nodes["/lost/x"] = Node{Path: "/lost/x", Values: Values{ServiceID: ptr(ServiceID(9)), Address: ptr(netip.MustParseAddrPort("10.1.1.1:1"))}}
 		}},
@@ -213,6 +226,19 @@
 		}
 	}
 	none := func(*Snapshot) {}
+	const intake = "/koysipaja/intake"
+	vip := *sample(t, "koysipaja").Nodes[intake].Values.Address
+	release := func(since time.Time) func(*Snapshot) {
+		return func(s *Snapshot) {
+			edit(s.Nodes, intake, func(n *Node) { n.Values.Address, n.Released = nil, []Release{{vip, since}} })
+		}
+	}
+	claim := func(s *Snapshot) {
+		edit(s.Nodes, "/koysipaja/order", func(n *Node) {
+			n.Released = []Release{{*n.Values.Address, now}}
+			n.Values.Address = &vip
+		})
+	}
 	for _, tc := range []struct {
 		name, want string
 		old, next  func(*Snapshot)
@@ -237,11 +263,27 @@
 			s.Servers["order-99"] = v
 			delete(s.Servers, "order-02")
 		}},
-		{"service address moves", "node /koysipaja/order address", none, func(s *Snapshot) {
-			a := s.Nodes["/koysipaja/intake"].Values.Address
-			edit(s.Nodes, "/koysipaja/intake", func(n *Node) { n.Values.Address = ptr(netip.MustParseAddrPort("10.20.255.9:1")) })
-			edit(s.Nodes, "/koysipaja/order", func(n *Node) { n.Values.Address = a })
+		{"generation falls", "node /koysipaja/order generation", none, func(s *Snapshot) {
+			edit(s.Nodes, "/koysipaja/order", func(n *Node) { n.Generation = 0 })
+		}},
+		{"service renumbered", "node /koysipaja/order serviceId", none, func(s *Snapshot) {
+			edit(s.Nodes, "/koysipaja/order", func(n *Node) { n.Values.ServiceID = ptr(ServiceID(78)) })
+		}},
+		{"secret replaced", "key first secret", none, func(s *Snapshot) {
+			edit(s.Keys, "first", func(k *Key) { k.Secret = make([]byte, 16) })
+		}},
+		{"address released", "", none, release(now)},
+		{"address released without record", "node /koysipaja/intake released", none, release(time.Time{})},
+		{"address claimed after quarantine", "", release(ago(Quarantine)), claim},
+		{"address claimed too soon", "node /koysipaja/order address", release(ago(Quarantine - 1)), claim},
+		{"release dropped too soon", "node /koysipaja/intake released", release(ago(Quarantine - 1)), func(s *Snapshot) {
+			edit(s.Nodes, intake, func(n *Node) { n.Released, n.Values.Address = nil, ptr(netip.MustParseAddrPort("10.20.255.9:1")) })
 		}},
+		{"address moves at once", "node /koysipaja/order address", none, func(s *Snapshot) { release(now)(s); claim(s) }},
+		{"service deleted too soon", "node /koysipaja/spare released", func(s *Snapshot) {
+			s.Nodes["/koysipaja/spare"] = Node{Path: "/koysipaja/spare", Values: Values{
+				ServiceID: ptr(ServiceID(77)), Address: ptr(netip.MustParseAddrPort("10.20.255.8:1"))}}
+		}, func(s *Snapshot) { delete(s.Nodes, "/koysipaja/spare") }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			old := sample(t, "koysipaja")
--- a/pkg/conf/model.go
+++ b/pkg/conf/model.go
@@ -92,11 +92,20 @@
 	// Generation increases when a deleted node is created again.
 	Generation uint64 `json:"generation"`
 	Values     Values `json:"values"`
+	// Released lists addresses that a service node gave up less than the
+	// quarantine ago. A service without an address takes no packets.
+	Released []Release `json:"released,omitempty"`
 	// Edit is the random identifier of the edit that wrote the record. A
 	// client whose answer was lost finds its own edit by it.
 	Edit string `json:"edit,omitempty"`
 }
 
+// Release is an address in quarantine after its service gave it up.
+type Release struct {
+	Address netip.AddrPort `json:"address"`
+	Since   time.Time      `json:"since"`
+}
+
 // Snapshot is the whole of the settings at one revision of the platform.
 type Snapshot struct {
 	Rev     uint64            `json:"rev"`
--- a/pkg/conf/schema.go
+++ b/pkg/conf/schema.go
@@ -42,7 +42,9 @@
 
 - An address goes to another service %s after its server was marked removed.
   Until then the record is not deleted, and its address and service stay.
-- The since of a removal is within %s of the client's clock.
+- A service node records the address that it gives up in released, and another
+  service may take the address %s later. Only then is the node deleted.
+- The since of a removal or release is within %s of the client's clock.
 - A new key's sealFrom is at least %s ahead, except in an empty store.
 - Identifiers of services and servers are never reused.
 - A generation never decreases, and increases when a server moves.
@@ -51,7 +53,7 @@
 
 A daemon reads them from a local file; samples/process.json shows one.
 
-`, Quarantine, MaxSinceError, KeyLead)
+`, Quarantine, Quarantine, MaxSinceError, KeyLead)
 	record(&b, "process", Process{}, "Keys are base64: the cluster key has 16, 24 or 32 bytes, the operator key at least 16.")
 	fmt.Fprintf(&b, "Log switches: %s. Levels: %s.\n", strings.Join(LogSubsystems(), ", "), strings.Join(LogLevels(), ", "))
 	return b.String()
--- a/pkg/conf/valid.go
+++ b/pkg/conf/valid.go
@@ -72,6 +72,9 @@
 		if addr != nil {
 			r.add("address", *addr, "set on service nodes only")
 		}
+		if len(n.Released) > 0 {
+			r.add("released", len(n.Released), "set on service nodes only")
+		}
 		return
 	}
 	if id == nil || *id == 0 {
@@ -79,9 +82,11 @@
 	} else {
 		ids.claim(r, "serviceId", *id)
 	}
-	if addr == nil {
+	switch {
+	case addr == nil && len(n.Released) > 0:
+	case addr == nil:
 		r.add("address", "absent", "an IP address with a port")
-	} else {
+	default:
 		checkAddr(r, "address", *addr)
 	}
 }
