pick, server: take values in force from the settings cache

Their coldTime was 20 s, the default of the settings, but pick and server read values through adapters of their own whose default was 1 s, so instances raised the quota of a server that still was cold. The stand-in server stops requests at their deadline, as instances rely on it when they hand over the slots of a cold server.

--- a/emul/server/host.go
+++ b/emul/server/host.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"ebonypaddle/emul/body"
@@ -94,6 +95,7 @@
 		return nil
 	}
 	h.lastPacket = now
+	h.expire(now)
 	f := &p.Frame
 	switch {
 	case f.Kind == wire.KindProbe:
@@ -116,6 +118,7 @@
 // Tick finishes requests that are due and sends the push feed.
 func (h *Host) Tick(now time.Time) []Out {
 	h.out = nil
+	h.expire(now)
 	for i := 0; i < len(h.running); {
 		j := h.running[i]
 		if j.end.After(now) {
@@ -130,6 +133,20 @@
 	return h.out
 }
 
+// expire stops requests whose deadline has passed. Their caller no longer
+// waits, and instances rely on it to hand over the slots of a cold server.
+func (h *Host) expire(now time.Time) {
+	h.running = slices.DeleteFunc(h.running, func(j *job) bool {
+		f := &j.pkt.Frame
+		late := f.Deadline != 0 && !j.end.Before(f.DeadlineTime()) && now.After(f.DeadlineTime())
+		if late {
+			h.count.Expired++
+		}
+		return late
+	})
+	h.startQueued(now, now)
+}
+
 func (h *Host) cold(now time.Time) bool { return now.Before(h.coldUntil) }
 
 // request admits, sheds or falls over.
--- a/emul/server/report.go
+++ b/emul/server/report.go
@@ -16,6 +16,7 @@
 	Misrouted   uint64 `json:"misrouted"`
 	UnknownFlow uint64 `json:"unknownFlow"`
 	Late        uint64 `json:"late"`
+	Expired     uint64 `json:"expired"`
 	Shed        uint64 `json:"shed"`
 	Cancelled   uint64 `json:"cancelled"`
 	FellOver    uint64 `json:"fellOver"`
--- a/pkg/pick/limits.go
+++ b/pkg/pick/limits.go
@@ -1,7 +1,6 @@
 package pick
 
 import (
-	"path"
 	"time"
 
 	"ebonypaddle/pkg/conf"
@@ -13,36 +12,12 @@
 	epoch, skew, attempt                                   time.Duration
 }
 
-// limitsFor reads the values at a node path, or the nearest ancestor that
-// sets them.
-func limitsFor(s *conf.Snapshot, node string) limits {
+// limitsOf takes the values that placing work on a server needs.
+func limitsOf(r conf.Resolved) limits {
 	return limits{
-		slots:        max(value(s, node, func(v *conf.Values) *int { return v.Slots }, 2), 1),
-		queuePerSlot: value(s, node, func(v *conf.Values) *int { return v.QueuePerSlot }, 2),
-		connections:  value(s, node, func(v *conf.Values) *int { return v.Connections }, 2000),
-		coldSlots:    max(value(s, node, func(v *conf.Values) *int { return v.ColdSlots }, 1), 1),
-		coldFlows:    max(value(s, node, func(v *conf.Values) *int { return v.ColdFlows }, 20), 1),
-		epoch:        span(s, node, func(v *conf.Values) *conf.Duration { return v.EpochTime }, 2*time.Second),
-		skew:         span(s, node, func(v *conf.Values) *conf.Duration { return v.MaxClockSkew }, 100*time.Millisecond),
-		attempt:      span(s, node, func(v *conf.Values) *conf.Duration { return v.AttemptTime }, 500*time.Millisecond),
-	}
-}
-
-func span(s *conf.Snapshot, node string, get func(*conf.Values) *conf.Duration, def time.Duration) time.Duration {
-	return time.Duration(value(s, node, get, conf.Duration(def)))
-}
-
-func value[T any](s *conf.Snapshot, node string, get func(*conf.Values) *T, def T) T {
-	for {
-		if n, ok := s.Nodes[node]; ok {
-			if v := get(&n.Values); v != nil {
-				return *v
-			}
-		}
-		if node == "/" || node == "." || node == "" {
-			return def
-		}
-		node = path.Dir(node)
+		slots: max(r.Slots, 1), queuePerSlot: r.QueuePerSlot, connections: r.Connections,
+		coldSlots: max(r.ColdSlots, 1), coldFlows: max(r.ColdFlows, 1),
+		epoch: r.EpochTime, skew: r.MaxClockSkew, attempt: r.AttemptTime,
 	}
 }
 
--- a/pkg/pick/picker.go
+++ b/pkg/pick/picker.go
@@ -80,6 +80,7 @@
 	p.rows = make(map[conf.ServerID]*row, len(s.Servers))
 	p.services = map[conf.ServiceID]*service{}
 	places := map[string]place{}
+	values := conf.Cache{Snapshot: s}
 	for _, rec := range s.Servers {
 		n := s.Nodes[rec.Service]
 		if rec.Mark == conf.MarkRemoved || n.Values.ServiceID == nil {
@@ -94,7 +95,7 @@
 		if r == nil || r.generation != rec.Generation || r.addr != rec.Addr {
 			r = &row{id: rec.ID, generation: rec.Generation, addr: rec.Addr, offset: offsetOf(rec.ID)}
 		}
-		r.limits, r.place = limitsFor(s, rec.Service+"/"+rec.Domain), places[key]
+		r.limits, r.place = limitsOf(values.Server(&rec)), places[key]
 		r.from = s.MarkedSince(&rec).Add(conf.EffectAfter)
 		r.local, r.out = rec.Domain == p.Domain, isOut(s, half, rec.Domain)
 		p.rows[rec.ID] = r
--- a/pkg/server/limits.go
+++ b/pkg/server/limits.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"path"
 	"time"
 
 	"ebonypaddle/pkg/conf"
@@ -15,29 +14,11 @@
 	IdentityTTL, ColdTime time.Duration
 }
 
-// limitsFor reads the values at a node path, or the nearest ancestor that
-// sets them.
-func limitsFor(s *conf.Snapshot, node string) Limits {
+// limitsOf takes the values that the table needs.
+func limitsOf(r conf.Resolved) Limits {
 	return Limits{
-		Slots:        value(s, node, func(v *conf.Values) *int { return v.Slots }, 2),
-		QueuePerSlot: value(s, node, func(v *conf.Values) *int { return v.QueuePerSlot }, 2),
-		ColdSlots:    value(s, node, func(v *conf.Values) *int { return v.ColdSlots }, 1),
-		IdentityTTL:  time.Duration(value(s, node, func(v *conf.Values) *conf.Duration { return v.IdentityTTL }, conf.Duration(2*time.Second))),
-		ColdTime:     time.Duration(value(s, node, func(v *conf.Values) *conf.Duration { return v.ColdTime }, conf.Duration(time.Second))),
-	}
-}
-
-func value[T any](s *conf.Snapshot, node string, get func(*conf.Values) *T, def T) T {
-	for {
-		if n, ok := s.Nodes[node]; ok {
-			if v := get(&n.Values); v != nil {
-				return *v
-			}
-		}
-		if node == "/" || node == "." || node == "" {
-			return def
-		}
-		node = path.Dir(node)
+		Slots: r.Slots, QueuePerSlot: r.QueuePerSlot, ColdSlots: r.ColdSlots,
+		IdentityTTL: r.IdentityTTL, ColdTime: r.ColdTime,
 	}
 }
 
--- a/pkg/server/table.go
+++ b/pkg/server/table.go
@@ -61,12 +61,13 @@
 		t.rows = map[conf.ServerID]*row{}
 	}
 	seen := make(map[conf.ServerID]bool, len(s.Servers))
+	values := &conf.Cache{Snapshot: s}
 	for _, rec := range s.Servers {
 		if rec.Mark == conf.MarkRemoved {
 			continue
 		}
 		seen[rec.ID] = true
-		t.applyRecord(now, s, rec)
+		t.applyRecord(now, s, values, rec)
 	}
 	for id, r := range t.rows {
 		if !seen[id] {
@@ -77,7 +78,7 @@
 	t.index()
 }
 
-func (t *Table) applyRecord(now time.Time, s *conf.Snapshot, rec conf.Server) {
+func (t *Table) applyRecord(now time.Time, s *conf.Snapshot, values *conf.Cache, rec conf.Server) {
 	var service conf.ServiceID
 	if n := s.Nodes[rec.Service]; n.Values.ServiceID != nil {
 		service = *n.Values.ServiceID
@@ -87,7 +88,7 @@
 		r = &row{id: rec.ID, state: StateCold, since: now, probeAt: now, service: service, generation: rec.Generation, addr: rec.Addr}
 		t.rows[rec.ID] = r
 	}
-	r.limits = limitsFor(s, rec.Service+"/"+rec.Domain)
+	r.limits = limitsOf(values.Server(&rec))
 	was := r.marked
 	r.marked = rec.Mark == conf.MarkLeaving || domainOut(s, rec)
 	switch {
@@ -101,22 +102,8 @@
 // domainOut reports whether the failure domain of a server is marked out. Its
 // servers start cold when the domain returns.
 func domainOut(s *conf.Snapshot, rec conf.Server) bool {
-	for _, d := range s.Domains {
-		if d.Name == rec.Domain && d.Mark == conf.MarkOut && halfOf(rec.Service) == d.Half {
-			return true
-		}
-	}
-	return false
-}
-
-// halfOf returns the first element of a node path.
-func halfOf(path string) string {
-	for i := 1; i < len(path); i++ {
-		if path[i] == '/' {
-			return path[1:i]
-		}
-	}
-	return ""
+	d, ok := s.DomainOf(&rec)
+	return ok && d.Mark == conf.MarkOut
 }
 
 // index rebuilds the probe order and the index by address.
