pick: bound the connections of a server over all places

Cause: each place took its part of the free connections per epoch, and reports lag by up to an epoch. Change: all places together may open a quarter of the free connections in one epoch, divided into units as for cold servers; the units of a place are counted without a loop. New flows prefer servers with free connections. Conclusion: with reports at most one epoch old the sum cannot pass the limit.

--- a/pkg/pick/load.go
+++ b/pkg/pick/load.go
@@ -102,6 +102,13 @@
 	return r.work * max(1-age, 0)
 }
 
+// filled is the share of connections in use, as a part of one second, so that
+// flows go to servers with free connections before they go to fast ones.
+func (r *row) filled() time.Duration {
+	flows := int(r.load.Flows) + r.opened
+	return time.Duration(flows) * time.Second / time.Duration(max(r.limits.connections, 1))
+}
+
 // acceptable is the wait up to which a server of the own failure domain comes
 // before all others.
 func (r *row) acceptable() time.Duration { return r.latency }
--- a/pkg/pick/place.go
+++ b/pkg/pick/place.go
@@ -166,6 +166,9 @@
 	}
 	o.wait = r.wait(now)
 	o.score = o.wait + time.Duration(r.worked(now)*workWeight)
+	if ask.Flow {
+		o.score += r.filled()
+	}
 	return o, wire.ReasonNone
 }
 
@@ -182,7 +185,7 @@
 	r.roll(epoch)
 	o.cold, o.epoch = true, epoch
 	if ask.Flow {
-		if !r.place.turn(r.offset, epoch, 0) || now.Before(r.flowAt) || r.opened >= r.flowShare() {
+		if r.place.units(r.offset, epoch, 1) == 0 || now.Before(r.flowAt) || r.opened >= r.flowShare() {
 			return o, wire.ReasonColdLimit
 		}
 		return o, wire.ReasonNone
@@ -201,33 +204,24 @@
 }
 
 func (r *row) roll(epoch int64) {
-	if r.epoch != epoch {
-		r.epoch, r.coldUsed, r.opened = epoch, 0, 0
+	if r.epoch == epoch {
+		return
 	}
+	r.epoch, r.coldUsed, r.opened = epoch, 0, 0
 }
 
-// flowShare is this place's part of the connections that the server reports
-// as free, per epoch. Closes may pass through any instance, so an instance
-// cannot count the open flows of a server itself.
+// openShare divides the free connections of a server into what all places
+// together may open in one epoch. Reports lag by up to an epoch, so the free
+// connections F follow F(e+1) >= F(e) - F(e-1)/4, which stays positive; with 3
+// it would not.
+const openShare = 4
+
+// flowShare is this place's part of the flows that may open in the epoch.
+// Closes may pass through any instance, so an instance cannot count the open
+// flows of a server itself.
 func (r *row) flowShare() int {
-	places := r.place.ownCount + r.place.otherCount
-	if places == 0 || r.place.index < 0 {
-		return 0
-	}
 	free := max(r.limits.connections-int(r.load.Flows), 0)
-	share := free / places
-	if int((uint64(r.epoch)+r.offset)%uint64(places)) == r.place.flat() && free%places > 0 {
-		share += free % places
-	}
-	return share
-}
-
-// flat numbers the place among all places of the half.
-func (q *place) flat() int {
-	if q.own {
-		return q.index
-	}
-	return q.ownCount + q.index
+	return r.place.units(r.offset, r.epoch, free/openShare)
 }
 
 func (p *Picker) take(now time.Time, ask *Ask, o *offer) Choice {
--- a/pkg/pick/quota.go
+++ b/pkg/pick/quota.go
@@ -27,36 +27,30 @@
 	ownCount, otherCount int
 }
 
-// turn says whether unit k of a server's total belongs to this place in an
+// units returns how many of a server's total units belong to this place in an
 // epoch. Every unit belongs to one place, whatever the total is, so instances
 // whose views of the stage differ never exceed the higher one together. Every
-// second turn belongs to the server's own failure domain, so a server whose
-// domain is cut off waits two epochs for each of the domain's places at most.
-func (q *place) turn(offset uint64, epoch int64, k int) bool {
-	n := uint64(epoch) + uint64(k) + offset
-	own := q.otherCount == 0 || (q.ownCount > 0 && n%2 == 0)
-	if own != q.own {
-		return false
-	}
-	if q.ownCount > 0 && q.otherCount > 0 {
-		n /= 2
-	}
-	count := q.otherCount
-	if own {
+// second unit and epoch belongs to the server's own failure domain, so a server
+// whose domain is cut off waits two epochs for each of its places at most. The
+// units of a place recur at a fixed distance and are counted without a loop.
+func (q *place) units(offset uint64, epoch int64, total int) int {
+	count, distance, turn := q.otherCount, uint64(1), uint64(q.index)
+	if q.own {
 		count = q.ownCount
 	}
-	return count > 0 && n%uint64(count) == uint64(q.index)
-}
-
-// units returns how many of a server's total units belong to this place.
-func (q *place) units(offset uint64, epoch int64, total int) int {
-	n := 0
-	for k := range total {
-		if q.turn(offset, epoch, k) {
-			n++
+	if q.ownCount > 0 && q.otherCount > 0 {
+		distance, turn = 2, 2*turn
+		if !q.own {
+			turn++
 		}
 	}
-	return n
+	distance *= uint64(max(count, 1))
+	base := (uint64(epoch) + offset) % distance
+	first := int((turn + distance - base) % distance)
+	if q.index < 0 || first >= total {
+		return 0
+	}
+	return 1 + (total-1-first)/int(distance)
 }
 
 // offsetOf spreads the turns of different servers over the places.
