dist: log an applied delta as it came

Ruled out: an index of changes, which a replica needs only if the copy of the map turns out too dear.

Conclusion: the copy of the map remains and grows with the records.

--- a/pkg/dist/replica.go
+++ b/pkg/dist/replica.go
@@ -48,7 +48,7 @@
 		}
 		return false
 	}
-	r.move(s)
+	r.move(s, nil)
 	return true
 }
 
@@ -59,14 +59,14 @@
 		r.Counters.Stale++
 		return Ignored
 	case d.Full:
-		r.move(d.over(&conf.Snapshot{}))
+		r.move(d.over(&conf.Snapshot{}), nil)
 	case r.cur == nil || d.From != r.Rev():
 		// A delta lists what differs between its two ends only. What changed
 		// and changed back in between would stay wrong.
 		r.Counters.Gaps++
 		return Gap
 	default:
-		r.move(d.over(r.cur))
+		r.move(d.over(r.cur), &d)
 	}
 	return Moved
 }
@@ -89,13 +89,18 @@
 	}
 }
 
-func (r *Replica) move(s *conf.Snapshot) {
+// move logs the change by, or finds it if it is nil.
+func (r *Replica) move(s *conf.Snapshot, by *Delta) {
 	r.Counters.Applied++
 	if r.cur != nil {
 		if len(r.log) == logLen {
 			r.log = append(r.log[:0], r.log[1:]...)
 		}
-		r.log = append(r.log, between(r.cur, s))
+		if by == nil {
+			d := between(r.cur, s)
+			by = &d
+		}
+		r.log = append(r.log, *by)
 	}
 	r.cur = s
 }
