pick, server: set the times of test fixtures themselves

Cause: the tests of pick and server relied on defaults of their former adapters. Change: fixtures set coldTime 1 s and attemptTime 500 ms; the default of queuePerSlot is 2, the value that the measurements of pick used. Ruled out: changing any expectation of these tests.

--- a/pkg/conf/fields.go
+++ b/pkg/conf/fields.go
@@ -104,7 +104,7 @@
 		span("maxClockSkew", time.Millisecond, time.Second, 100*time.Millisecond,
 			"Largest difference from the peers' median clock with which an instance sends to cold servers. Below epochTime.",
 			func(v *Values) **Duration { return &v.MaxClockSkew }, func(r *Resolved) *time.Duration { return &r.MaxClockSkew }),
-		field("queuePerSlot", "requests per slot", 0, 64, 1,
+		field("queuePerSlot", "requests per slot", 0, 64, 2,
 			"Requests that may wait at a server for each of its slots.",
 			func(v *Values) **int { return &v.QueuePerSlot }, func(r *Resolved) *int { return &r.QueuePerSlot }),
 		field("maxPending", "requests", 1, 1000000, 65536,
--- a/pkg/pick/cold_test.go
+++ b/pkg/pick/cold_test.go
@@ -18,9 +18,10 @@
 
 // settings has 4 domains with 2 entry places each, and n servers in turn.
 func settings(n int) *conf.Snapshot {
+	coldTime, attempt := conf.Duration(time.Second), conf.Duration(500*time.Millisecond)
 	id := conf.ServiceID(7)
 	s := &conf.Snapshot{
-		Nodes:   map[string]conf.Node{"/k/order": {Values: conf.Values{ServiceID: &id}}},
+		Nodes:   map[string]conf.Node{"/k/order": {Values: conf.Values{ServiceID: &id, ColdTime: &coldTime, AttemptTime: &attempt}}},
 		Domains: map[string]conf.Domain{}, Servers: map[string]conf.Server{},
 	}
 	for _, d := range []string{"a", "b", "c", "d"} {
--- a/pkg/server/table_test.go
+++ b/pkg/server/table_test.go
@@ -17,9 +17,10 @@
 var epoch0 = time.Unix(1_000_000, 0)
 
 func snapshot(n int) *conf.Snapshot {
+	coldTime := conf.Duration(time.Second)
 	service := conf.ServiceID(7)
 	s := &conf.Snapshot{
-		Nodes:   map[string]conf.Node{"/k/order": {Values: conf.Values{ServiceID: &service}}},
+		Nodes:   map[string]conf.Node{"/k/order": {Values: conf.Values{ServiceID: &service, ColdTime: &coldTime}}},
 		Domains: map[string]conf.Domain{"a": {Name: "a", Half: "k", Mark: conf.MarkIn}},
 		Servers: map[string]conf.Server{},
 	}
