dist: test dates of fleet freshness and the reach of pushes

Cause: dating what was heard by the time of receipt, and pushing to nobody, passed all tests; pulls alone bring settings into force within 4 s at 8 instances.

Change: tests for both. A check of the hint's revision in Heard is removed, because no schedule showed an effect: a known higher revision already ends freshness by the fleet, and what was heard is true again once it is applied.

Ruled out: nothing.

Conclusion: freshness by the fleet counts from the question as well.

--- a/pkg/dist/dist_test.go
+++ b/pkg/dist/dist_test.go
@@ -1,6 +1,7 @@
 package dist
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -162,6 +163,14 @@
 			f.Heard(sec(1), sec(1), "b", wire.Hint{Known: 5, Age: wire.NoAge})
 			return sec(2), sec(3.9)
 		},
+		"fleet counts from the question": func(f *Freshness) (now, until time.Time) {
+			f.Heard(sec(2), sec(1), "b", wire.Hint{Known: 5, Age: wire.NoAge})
+			return sec(2), sec(3.9)
+		},
+		"fleet passed on": func(f *Freshness) (now, until time.Time) {
+			f.Heard(sec(2), sec(1), "a", wire.Hint{Known: 5, Age: wire.NoAge, Domains: []wire.DomainAge{{Domain: "b", Age: 500}}})
+			return sec(2), sec(3.4)
+		},
 		"fleet knows more": func(f *Freshness) (now, until time.Time) {
 			f.Heard(sec(1), sec(1), "b", wire.Hint{Known: 5, Age: wire.NoAge})
 			f.Heard(sec(1), sec(1), "a", wire.Hint{Known: 6, Age: wire.NoAge})
@@ -185,6 +194,28 @@
 	}
 }
 
+// Guards against settings that spread by pulls alone, and against pushes that
+// grow with the fleet.
+func TestPush(t *testing.T) {
+	for n, want := range map[int]int{4: 3, 9: 8, 64: 8} {
+		s, out := Spread{Self: addr(0), Replica: &Replica{}}, wire.Outbox{}
+		s.Members = func() (all []netip.AddrPort) {
+			for i := range n {
+				all = append(all, addr(i))
+			}
+			return all
+		}
+		s.Replica.Offer(&conf.Snapshot{Rev: 1})
+		s.Changed(0, &out)
+		to := map[netip.AddrPort]bool{addr(0): true}
+		for _, m := range out.Sends {
+			to[m.To] = true
+		}
+		assert.Equal(t, len(out.Sends), want)
+		assert.Equal(t, len(to), want+1, "a target is doubled or the sender")
+	}
+}
+
 // Guards against a delta that is cut or dropped when it exceeds a datagram.
 func TestBulk(t *testing.T) {
 	big := &conf.Snapshot{Rev: 9, Servers: map[string]conf.Server{"s": {Name: string(make([]byte, wire.MaxPeer))}}}
--- a/pkg/dist/fresh.go
+++ b/pkg/dist/fresh.go
@@ -84,11 +84,6 @@
 	if h.Age != wire.NoAge {
 		f.learn(stamp{before(asked, h.Age), h.Confirmed})
 	}
-	// What was heard counts only for settings that nobody in the chain
-	// knows to be old.
-	if h.Known > f.rev {
-		return
-	}
 	f.hear(domain, asked)
 	for _, d := range h.Domains {
 		if d.Age != wire.NoAge {
