core: choose readers among the candidates of a domain

Cause: right after a start no member has been heard, so each instance counted only itself and watched the platform. Change: core passes Members.Candidates, which counts seeds for 30 s, to the choice of readers. Ruled out: a longer wait before the reader role starts, which delays settings.

--- a/pkg/core/control.go
+++ b/pkg/core/control.go
@@ -115,8 +115,8 @@
 
 // IsReader reports whether this instance watches the platform for its failure
 // domain.
-func (c *Core) IsReader() bool {
-	return dist.IsReader(c.Entry.Peer, c.Domain, c.Members.Alive(c.Domain))
+func (c *Core) IsReader(now time.Time) bool {
+	return dist.IsReader(c.Entry.Peer, c.Domain, c.Members.Candidates(now, c.Domain))
 }
 
 // Bulk returns once the peer from which settings are to be pulled over TCP.
--- a/pkg/daemon/reader.go
+++ b/pkg/daemon/reader.go
@@ -85,7 +85,7 @@
 func (d *Daemon) isReader() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	is := d.core.IsReader()
+	is := d.core.IsReader(d.Clock())
 	if is != d.reader {
 		d.reader = is
 		d.log.Info("reader role changed", "reader", is)
