token, core: move flows to the newest key

Cause: a flow kept the token of the key under which it was opened, so removing that key would break every older flow. Change: an instance that forwards a frame whose token is sealed with an older key sends the caller a token under the newest one. The choice of the sealing key is kept until the next key is due. Ruled out: reissuing by the age of a token, which needs a lifetime of keys that the settings do not have. Conclusion: an old key can be removed once its flows have sent a packet.

--- a/pkg/core/caller.go
+++ b/pkg/core/caller.go
@@ -127,6 +127,20 @@
 		}
 	}
 	c.toServer(p, t.addr, id, generation, until)
+	if c.box.Outdated(now, p.Frame.Token) {
+		c.renew(now, p, id, generation)
+	}
+}
+
+// renew gives the caller a token under the newest key.
+func (c *Core) renew(now time.Time, p *wire.Packet, id conf.ServerID, generation uint32) {
+	svc, _ := c.Router.Service(p.Service)
+	tok, err := c.Router.Opened(now, nil, svc, id, generation, p.Frame.Flow)
+	if err != nil {
+		c.Stats.Dropped.Add(wire.ReasonBadToken)
+		return
+	}
+	c.toCaller(p, wire.Frame{Kind: wire.KindOpened, Flow: p.Frame.Flow, Token: tok})
 }
 
 // toServer sends a caller's frame to a server in the caller's name.
--- a/pkg/core/core.go
+++ b/pkg/core/core.go
@@ -61,6 +61,9 @@
 	Replica *dist.Replica
 	Fresh   *dist.Freshness
 
+	// Opened counts the flows that this instance opened.
+	Opened uint64
+
 	rnd     *rand.Rand
 	box     *token.Box
 	out     wire.Outbox
--- a/pkg/core/server.go
+++ b/pkg/core/server.go
@@ -58,6 +58,7 @@
 		}
 		g.Token = tok
 	}
+	c.Opened++
 	c.toCaller(p, g)
 }
 
--- a/pkg/daemon/admin.go
+++ b/pkg/daemon/admin.go
@@ -87,7 +87,7 @@
 	s := admin.Status{
 		Entry: d.Process.Entry, Self: d.Process.Peer, Domain: d.Process.Domain, Rev: d.core.Replica.Rev(),
 		CrossUntil: d.core.Fresh.CrossUntil(now), ClockSkew: skew,
-		Servers: d.core.ServerStates(), Counters: d.Stats.Map(),
+		Servers: d.core.ServerStates(), Flows: d.core.Opened, Counters: d.Stats.Map(),
 	}
 	for _, m := range d.core.Members.All() {
 		s.Members = append(s.Members, admin.Member{
--- a/pkg/token/token.go
+++ b/pkg/token/token.go
@@ -71,14 +71,20 @@
 
 	keys [256]cipher.AEAD
 	from [256]time.Time
-	buf  [plainSize]byte
-	out  [plainSize]byte
+	// current is the key to seal with, found whether there is one, due when
+	// the next key takes over. chosen is unset until they are computed.
+	current       uint8
+	found, chosen bool
+	due           time.Time
+	buf           [plainSize]byte
+	out           [plainSize]byte
 }
 
 // SetKeys replaces the keys.
 func (x *Box) SetKeys(keys map[string]conf.Key) error {
 	x.keys = [256]cipher.AEAD{}
 	x.from = [256]time.Time{}
+	x.chosen = false
 	for name, k := range keys {
 		block, err := aes.NewCipher(k.Secret)
 		if err != nil {
@@ -95,18 +101,37 @@
 }
 
 // sealKey returns the newest key that is due for sealing. Waiting for
-// SealFrom keeps tokens readable on instances that learn of a key late.
+// SealFrom keeps tokens readable on instances that learn of a key late. The
+// choice is kept until the next key is due, since every packet asks for it.
 func (x *Box) sealKey(now time.Time) (uint8, bool) {
-	best, found := 0, false
+	if !x.chosen || !x.due.IsZero() && !now.Before(x.due) {
+		x.choose(now)
+	}
+	return x.current, x.found
+}
+
+func (x *Box) choose(now time.Time) {
+	x.chosen, x.found, x.due = true, false, time.Time{}
 	for i, k := range x.keys {
-		if k == nil || x.from[i].After(now) {
-			continue
-		}
-		if !found || x.from[i].After(x.from[best]) {
-			best, found = i, true
+		from := x.from[i]
+		switch {
+		case k == nil:
+		case from.After(now):
+			if x.due.IsZero() || from.Before(x.due) {
+				x.due = from
+			}
+		case !x.found || from.After(x.from[x.current]):
+			x.current, x.found = uint8(i), true
 		}
 	}
-	return uint8(best), found
+}
+
+// Outdated reports whether a token that opens is sealed with a key that is no
+// longer the newest, so that the caller should get a new one before operators
+// remove that key.
+func (x *Box) Outdated(now time.Time, tok []byte) bool {
+	id, ok := x.sealKey(now)
+	return ok && len(tok) == Size && tok[1] != id
 }
 
 // SealFlow appends a sealed flow token to dst.
--- a/pkg/token/token_test.go
+++ b/pkg/token/token_test.go
@@ -90,6 +90,16 @@
 	assert.NilError(t, x.OpenFlow(tok, &f))
 }
 
+// Flows must move to the new key before operators remove the old one.
+func TestOutdated(t *testing.T) {
+	x := newBox(t, key(1, start), key(2, start.Add(10*time.Second)))
+	tok, err := x.SealFlow(start, nil, &token.Flow{Server: 1})
+	assert.NilError(t, err)
+	assert.Assert(t, !x.Outdated(start.Add(9999*time.Millisecond), tok))
+	assert.Assert(t, x.Outdated(start.Add(10*time.Second), tok))
+	assert.Assert(t, !x.Outdated(start.Add(10*time.Second), nil))
+}
+
 func TestOpenFlowDoesNotAllocate(t *testing.T) {
 	x := newBox(t, key(1, start))
 	tok, err := x.SealFlow(start, nil, &token.Flow{Service: 1, Server: 2})
