core: check every frame to a server, and let late frames expire

Cause: cancellations, probes and requests in progress come from tables that do not know marks and freshness, so a failure domain taken out could still get them; and one deadline for arrival and run time stopped every request that ran longer than the identity TTL of 2 s. Change: all sends pass core.sends, which drops frames to servers of a domain that is out, of another generation, unconfirmed or not fresh; frames carry an expiry for their arrival beside the deadline of the run. Ruled out: checks in each table, which would have to know each other; a deadline at the end of freshness, which stops slow requests.

--- a/emul/server/host.go
+++ b/emul/server/host.go
@@ -103,7 +103,7 @@
 	case f.Service != h.Service || f.Server != h.ID || f.Generation != h.Generation:
 		h.count.Misrouted++
 		h.refuse(now, via, p, wire.ReasonWrongService)
-	case f.Deadline != 0 && now.After(f.DeadlineTime()):
+	case f.Late(now):
 		h.count.Late++
 	case f.Kind == wire.KindRequest:
 		h.request(now, via, p)
--- a/pkg/calls/call.go
+++ b/pkg/calls/call.go
@@ -110,6 +110,9 @@
 	f.Token, f.Timeout, f.Attempt = nil, 0, c.key.attempt
 	f.Service, f.Server, f.Generation = c.service, p.Server, p.Generation
 	f.SetDeadline(p.Until)
+	if !p.Expires.IsZero() {
+		f.SetExpires(p.Expires)
+	}
 	out.Server(p.Addr, c.reply.packet(f))
 	t.timers.set(&c.timer, t.wakeup(now, c))
 }
--- a/pkg/calls/table.go
+++ b/pkg/calls/table.go
@@ -29,6 +29,8 @@
 	Addr       netip.AddrPort
 	// Until limits the deadline of the frame; zero means no limit.
 	Until time.Time
+	// Expires is the latest arrival of the frame; zero means no limit.
+	Expires time.Time
 	// Choice is the placer's own record of the placement.
 	Choice any
 }
--- a/pkg/core/caller.go
+++ b/pkg/core/caller.go
@@ -25,7 +25,7 @@
 	default:
 		c.Stats.Dropped.Add(wire.ReasonMalformed)
 	}
-	return c.out.Sends
+	return c.sends(now)
 }
 
 func (c *Core) request(now time.Time, p *wire.Packet) {
@@ -86,7 +86,7 @@
 		c.refuse(p, why)
 		return
 	}
-	c.toServer(p, ch.Addr, ch.Server, ch.Generation, ch.Deadline)
+	c.toServer(p, ch.Addr, ch.Server, ch.Generation, ch.Deadline, ch.Expires)
 }
 
 // openOn admits a new flow of a caller without token to the server of its
@@ -100,7 +100,7 @@
 		c.refuse(p, why)
 		return
 	}
-	c.toServer(p, ch.Addr, ch.Server, ch.Generation, ch.Deadline)
+	c.toServer(p, ch.Addr, ch.Server, ch.Generation, ch.Deadline, ch.Expires)
 }
 
 // forward sends a frame of an established flow to its server. It does not
@@ -126,7 +126,7 @@
 			until = cross
 		}
 	}
-	c.toServer(p, t.addr, id, generation, until)
+	c.toServer(p, t.addr, id, generation, until, until)
 	if c.box.Outdated(now, p.Frame.Token) {
 		c.renew(now, p, id, generation)
 	}
@@ -144,12 +144,13 @@
 }
 
 // toServer sends a caller's frame to a server in the caller's name.
-func (c *Core) toServer(p *wire.Packet, to netip.AddrPort, id conf.ServerID, generation uint32, deadline time.Time) {
+func (c *Core) toServer(p *wire.Packet, to netip.AddrPort, id conf.ServerID, generation uint32, deadline, expires time.Time) {
 	svc, _ := c.Router.Service(p.Service)
 	q := *p
 	q.Frame.Token = nil
 	q.Frame.Service, q.Frame.Server, q.Frame.Generation = svc, id, generation
 	q.Frame.SetDeadline(deadline)
+	q.Frame.SetExpires(expires)
 	c.out.Server(to, &q)
 }
 
--- a/pkg/core/control.go
+++ b/pkg/core/control.go
@@ -87,7 +87,7 @@
 		c.ctl.spread.Changed(old, &c.out)
 	}
 	c.Fresh.Confirm(now, asked, snap.Rev)
-	return c.out.Sends, moved, err
+	return c.sends(now), moved, err
 }
 
 // OfferDelta takes a delta pulled from a peer over TCP.
@@ -99,7 +99,7 @@
 	}
 	err := c.applyCurrent(now)
 	c.ctl.spread.Changed(old, &c.out)
-	return c.out.Sends, err
+	return c.sends(now), err
 }
 
 // ConfirmSettings takes the platform's word that its settings are at rev.
@@ -159,7 +159,7 @@
 	if err != nil {
 		c.Stats.Dropped.Add(wire.ReasonMalformed)
 	}
-	return c.out.Sends
+	return c.sends(now)
 }
 
 // handle decodes a body and passes it on.
@@ -191,7 +191,7 @@
 		c.release(now, c.Router.Tick(now))
 		c.Router.Flush(&c.out)
 	}
-	return c.out.Sends
+	return c.sends(now)
 }
 
 // viewMembers renews what other tables know of the live instances.
--- a/pkg/core/mark.go
+++ b/pkg/core/mark.go
@@ -32,7 +32,7 @@
 func (c *Core) TakeMark(now time.Time, m Mark) []wire.Send {
 	c.out.Reset()
 	c.takeMark(now, m)
-	return c.out.Sends
+	return c.sends(now)
 }
 
 func (c *Core) takeMark(now time.Time, m Mark) {
--- a/pkg/core/placer.go
+++ b/pkg/core/placer.go
@@ -33,7 +33,7 @@
 	if why != wire.ReasonNone {
 		return calls.Placement{}, why
 	}
-	return calls.Placement{Choice: ch, Server: ch.Server, Generation: ch.Generation, Addr: ch.Addr, Until: ch.Deadline}, why
+	return calls.Placement{Choice: ch, Server: ch.Server, Generation: ch.Generation, Addr: ch.Addr, Until: ch.Deadline, Expires: ch.Expires}, why
 }
 
 // Finished implements calls.Placer.
--- a/pkg/core/server.go
+++ b/pkg/core/server.go
@@ -35,7 +35,7 @@
 	default:
 		c.Stats.Dropped.Add(wire.ReasonMalformed)
 	}
-	return c.out.Sends
+	return c.sends(now)
 }
 
 // answer passes an answer to the request table. The frame stays at hand for
--- a/pkg/pick/cold_test.go
+++ b/pkg/pick/cold_test.go
@@ -329,7 +329,7 @@
 			got, reason := p.Place(begin.Add(time.Millisecond*150), a)
 			assert.Equal(t, reason, c.reason)
 			if reason == wire.ReasonNone {
-				assert.Equal(t, got.Deadline, a.CrossUntil)
+				assert.Equal(t, got.Expires, a.CrossUntil)
 			}
 		})
 	}
--- a/pkg/pick/place.go
+++ b/pkg/pick/place.go
@@ -37,9 +37,11 @@
 	Server     conf.ServerID
 	Generation uint32
 	Addr       netip.AddrPort
-	// Deadline is the deadline that the frame to the server must carry.
-	Deadline time.Time
-	Flow     bool
+	// Deadline is the deadline that the frame to the server must carry, and
+	// Expires its latest arrival: by then the server's identity and, in
+	// another failure domain, the settings need a new confirmation.
+	Deadline, Expires time.Time
+	Flow              bool
 	// Cold tells that the work counts against a cold server's quota.
 	Cold bool
 
@@ -50,6 +52,7 @@
 type offer struct {
 	row      *row
 	deadline time.Time
+	expires  time.Time
 	wait     time.Duration
 	// score orders candidates: the wait plus the work given of late, which
 	// spreads load when all waits are near zero.
@@ -145,13 +148,15 @@
 		if !now.Before(ask.CrossUntil) {
 			return o, wire.ReasonNotFresh
 		}
-		o.limit(ask.CrossUntil)
+		o.expires = ask.CrossUntil
 	}
 	until, reason := p.Servers.Usable(now, r.id)
 	if reason != wire.ReasonNone {
 		return o, reason
 	}
-	o.limit(until)
+	if o.expires.IsZero() || until.Before(o.expires) {
+		o.expires = until
+	}
 	total, _, warm := p.Servers.Stage(r.id)
 	if !warm {
 		return p.offerCold(now, ask, o, total)
@@ -254,7 +259,7 @@
 			r.coldUsed++
 		}
 	}
-	return Choice{Server: r.id, Generation: r.generation, Addr: r.addr, Deadline: o.deadline, Flow: ask.Flow, Cold: o.cold, epoch: o.epoch}
+	return Choice{Server: r.id, Generation: r.generation, Addr: r.addr, Deadline: o.deadline, Expires: o.expires, Flow: ask.Flow, Cold: o.cold, epoch: o.epoch}
 }
 
 // worse returns the more specific of two reasons: one that passes by itself
--- a/pkg/wire/frame.go
+++ b/pkg/wire/frame.go
@@ -102,8 +102,8 @@
 	// Timeout is the time the caller still waits, in milliseconds. Callers
 	// state a duration because their clocks are not trusted.
 	Timeout uint32
-	// Deadline is the Unix time in milliseconds after which a server must
-	// discard the frame. Only frames to servers carry it.
+	// Deadline is the Unix time in milliseconds at which a server stops the
+	// request, whether it waits or runs. Only frames to servers carry it.
 	Deadline int64
 	Flags    uint8
 	Outcome  Outcome
@@ -116,6 +116,11 @@
 	Generation uint32
 	Boot       uint64
 	Load       Load
+	// Expires is the Unix time in milliseconds after which a server discards
+	// the frame when it arrives. It is earlier than Deadline where the sender
+	// may not know later whether the server still is the right one; a request
+	// that has arrived runs on.
+	Expires int64
 }
 
 // DeadlineTime returns the deadline, or the zero time when there is none.
@@ -129,5 +134,14 @@
 // SetDeadline sets the deadline, rounded down to a millisecond.
 func (f *Frame) SetDeadline(t time.Time) { f.Deadline = t.UnixMilli() }
 
+// SetExpires sets the latest time of arrival, rounded down to a millisecond.
+func (f *Frame) SetExpires(t time.Time) { f.Expires = t.UnixMilli() }
+
+// Late reports whether a frame that arrives at now is to be discarded.
+func (f *Frame) Late(now time.Time) bool {
+	return f.Deadline != 0 && now.After(time.UnixMilli(f.Deadline)) ||
+		f.Expires != 0 && now.After(time.UnixMilli(f.Expires))
+}
+
 // Has reports whether all bits of flag are set.
 func (f *Frame) Has(flag uint8) bool { return f.Flags&flag == flag }
