daemon: keep the settings revision apart from the instance list

Change: a reader remembers how far it has watched, applies a revision only when a settings object changed, and otherwise confirms the revision it holds. settingsRegressed counts answers below what the reader has seen. Ruled out: a watch per kind, which costs a waiting watch each.

--- a/pkg/daemon/counter.go
+++ b/pkg/daemon/counter.go
@@ -9,8 +9,10 @@
 	// Pulls, PullErrors, Reads and ReadErrors count exchanges of settings
 	// with peers and with the object API.
 	Pulls, PullErrors, Reads, ReadErrors atomic.Uint64
-	// SettingsRefused counts snapshots that were not applied.
-	SettingsRefused atomic.Uint64
+	// SettingsRefused counts objects and snapshots that were not applied,
+	// SettingsRegressed answers of the platform below the revision that this
+	// instance has seen: a lagging replica or a restored backup.
+	SettingsRefused, SettingsRegressed atomic.Uint64
 }
 
 // Map returns the counters by name.
@@ -19,7 +21,7 @@
 		"peerBytesIn": c.PeerBytesIn.Load(), "peerBytesOut": c.PeerBytesOut.Load(),
 		"pulls": c.Pulls.Load(), "pullErrors": c.PullErrors.Load(),
 		"reads": c.Reads.Load(), "readErrors": c.ReadErrors.Load(),
-		"settingsRefused": c.SettingsRefused.Load(),
+		"settingsRefused": c.SettingsRefused.Load(), "settingsRegressed": c.SettingsRegressed.Load(),
 	}
 }
 
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -57,6 +57,9 @@
 	log    *slog.Logger
 	admin  *admin.Server
 	reader bool
+	// seen is the platform's revision up to which this instance has watched.
+	// Only the settings loop uses it.
+	seen uint64
 }
 
 // Run serves until ctx ends and then stops gracefully: it finishes requests in
--- a/pkg/daemon/reader.go
+++ b/pkg/daemon/reader.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"ebonypaddle/pkg/admin"
@@ -168,10 +169,13 @@
 }
 
 func (d *Daemon) watch(ctx context.Context) error {
-	since := d.rev()
-	if since == 0 {
+	base := d.settings()
+	if base == nil {
 		return d.list(ctx)
 	}
+	// Entries of the instance list raise the revision too. Settings keep
+	// theirs then, so that a restart of an instance changes nothing elsewhere.
+	since := max(d.seen, base.Rev)
 	asked := d.Clock()
 	events, rev, err := d.Store.Watch(ctx, since, watchWait)
 	var gone *store.GoneError
@@ -181,24 +185,36 @@
 	if err != nil {
 		return err
 	}
-	return d.offerEvents(asked, since, rev, events)
+	if rev < since {
+		d.Counters.SettingsRegressed.Add(1)
+		return nil
+	}
+	events = slices.DeleteFunc(events, func(e store.Event) bool { return e.Kind == store.KindInstance })
+	d.seen = rev
+	d.offerEvents(asked, base, rev, events)
+	return nil
+}
+
+func (d *Daemon) settings() *conf.Snapshot {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.Replica.Current()
 }
 
-// offerEvents applies the events to the snapshot they start from. The answer
+// offerEvents applies changes to the snapshot they start from. The answer
 // confirms the revision even when nothing changed.
-func (d *Daemon) offerEvents(asked time.Time, since, rev uint64, events []store.Event) error {
+func (d *Daemon) offerEvents(asked time.Time, base *conf.Snapshot, rev uint64, events []store.Event) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	base := d.core.Replica.Current()
-	if base.Rev != since {
-		return nil
+	if d.core.Replica.Current() != base {
+		return
 	}
-	next := *base
-	snap := &next
+	if len(events) == 0 {
+		d.core.ConfirmSettings(d.Clock(), asked, base.Rev)
+		return
+	}
+	snap := base
 	for _, e := range events {
-		if e.Kind == store.KindInstance {
-			continue
-		}
 		n, problems := snap.With(conf.Object{Kind: conf.Kind(e.Kind), Name: e.Name, Rev: e.Rev, Value: e.Value, Deleted: e.Deleted})
 		if len(problems) > 0 {
 			d.refused(problems)
@@ -206,23 +222,18 @@
 		}
 		snap = n
 	}
-	if rev < since {
-		d.core.ConfirmSettings(d.Clock(), asked, rev)
-		return nil
-	}
 	final := *snap
 	final.Rev = rev
-	return d.offer(asked, &final)
+	d.offer(asked, &final)
 }
 
 // offer hands a snapshot of the platform to the core. The caller holds mu.
-func (d *Daemon) offer(asked time.Time, snap *conf.Snapshot) error {
+func (d *Daemon) offer(asked time.Time, snap *conf.Snapshot) {
 	sends, _, err := d.core.OfferSettings(d.Clock(), asked, snap)
 	d.send(sends)
 	if err != nil {
 		d.refused(err)
 	}
-	return nil
 }
 
 // list reads all settings. Each kind is read at its own revision, so they are
@@ -254,5 +265,6 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.offer(asked, snap)
+	d.offer(asked, snap)
+	return nil
 }
