vtime: run tests of several instances on one virtual clock

Cause: four packages carried the same queue of timed events in their tests. Change: package vtime holds it once; the tests of flow, member, dist and pick use it. Ruled out: testing/synctest, which gives virtual time to goroutines; the cores have none, and a queue of functions also orders equal times.

--- a/pkg/dist/dist_test.go
+++ b/pkg/dist/dist_test.go
@@ -28,7 +28,7 @@
 			n := f.nodes[0]
 			n.off = true
 			f.run(freshFor)
-			assert.Assert(f.t, n.CrossUntil(f.now).IsZero())
+			assert.Assert(f.t, n.CrossUntil(f.Now).IsZero())
 			f.inForce(func(i int) bool { return i > 0 })
 			n.off = false
 			f.inForce(all)
--- a/pkg/dist/fleet_test.go
+++ b/pkg/dist/fleet_test.go
@@ -1,7 +1,6 @@
 package dist
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -10,6 +9,7 @@
 
 	"ebonypaddle/pkg/conf"
 	"ebonypaddle/pkg/member"
+	"ebonypaddle/pkg/vtime"
 	"ebonypaddle/pkg/wire"
 
 	"gotest.tools/v3/assert"
@@ -32,32 +32,15 @@
 	off             bool
 }
 
-type datagram struct {
-	at       time.Time
-	n        int
-	from, to int
-	body     any
-}
-
-type queue []datagram
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].n < q[j].n
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(datagram)) }
-func (q *queue) Pop() any     { d := (*q)[len(*q)-1]; *q = (*q)[:len(*q)-1]; return d }
-
 // fleet runs instances over datagrams that are late, out of order, doubled or
 // lost, beside a platform that keeps every revision.
 type fleet struct {
+	vtime.Clock
+
 	t       testing.TB
 	r       *rand.Rand
-	now     time.Time
 	nodes   []*node
-	q       queue
-	n, read int
+	read    int
 	history []*conf.Snapshot // platform's, by revision
 	edited  []time.Time
 	away    bool
@@ -72,7 +55,7 @@
 func domain(i int) string        { return fmt.Sprint("fi-south-", i%domains) }
 
 func newFleet(t testing.TB, n int, seed uint64) *fleet {
-	f := &fleet{t: t, r: rand.New(rand.NewPCG(seed, 1)), now: epoch, nodes: make([]*node, n),
+	f := &fleet{Clock: vtime.Clock{Now: epoch}, t: t, r: rand.New(rand.NewPCG(seed, 1)), nodes: make([]*node, n),
 		history: []*conf.Snapshot{{}}, edited: []time.Time{epoch},
 		reaches: func(int) bool { return true }, cut: func(int, int) bool { return false }}
 	f.edit()
@@ -83,13 +66,13 @@
 }
 
 func (f *fleet) start(i int) {
-	n := &node{started: f.now}
+	n := &node{started: f.Now}
 	n.Table = member.Table{Self: addr(i), Domain: domain(i), Rand: rand.New(rand.NewPCG(f.r.Uint64(), 2)), Hints: &n.Freshness}
 	n.Freshness = Freshness{Domain: domain(i), FreshFor: freshFor}
 	n.Spread = Spread{Self: addr(i), Replica: &n.Replica, Members: func() []netip.AddrPort { return n.Alive("") }}
-	n.Start(f.now)
+	n.Start(f.Now)
 	for j := range f.nodes {
-		n.Seed(f.now, addr(j), domain(j))
+		n.Seed(f.Now, addr(j), domain(j))
 	}
 	f.nodes[i] = n
 }
@@ -101,17 +84,13 @@
 	if rev%3 != 0 {
 		s.Nodes["/utility"] = conf.Node{Path: "/utility", Generation: rev}
 	}
-	f.history, f.edited = append(f.history, s), append(f.edited, f.now)
+	f.history, f.edited = append(f.history, s), append(f.edited, f.Now)
 	return rev
 }
 
 func (f *fleet) run(d time.Duration) {
-	for end := f.now.Add(d); f.now.Before(end); {
-		next := f.now.Add(step)
-		for len(f.q) > 0 && !f.q[0].at.After(next) {
-			f.deliver(heap.Pop(&f.q).(datagram))
-		}
-		f.now = next
+	for end := f.Now.Add(d); f.Now.Before(end); {
+		f.RunFor(step)
 		for i, n := range f.nodes {
 			if !n.off {
 				f.tick(i, n)
@@ -122,22 +101,22 @@
 
 func (f *fleet) tick(i int, n *node) {
 	var out wire.Outbox
-	n.Tick(f.now, &out)
-	if !f.away && f.reaches(i) && f.now.Sub(n.polled) >= 500*time.Millisecond && f.now.Sub(n.started) >= 3*time.Second &&
-		IsReader(n.Table.Self, n.Table.Domain, n.Candidates(f.now, n.Table.Domain)) {
-		n.polled = f.now
+	n.Tick(f.Now, &out)
+	if !f.away && f.reaches(i) && f.Now.Sub(n.polled) >= 500*time.Millisecond && f.Now.Sub(n.started) >= 3*time.Second &&
+		IsReader(n.Table.Self, n.Table.Domain, n.Candidates(f.Now, n.Table.Domain)) {
+		n.polled = f.Now
 		f.read++
 		latest := f.history[len(f.history)-1]
 		if from := n.Rev(); n.Offer(latest) {
 			n.applied(from, &out)
 		}
-		n.Confirm(f.now, f.now, latest.Rev)
+		n.Confirm(f.Now, f.Now, latest.Rev)
 	}
 	f.send(i, &out)
 	// Settings that were replaced before the last freshFor must not decide
 	// what crosses a failure domain.
-	if rev := n.Rev(); !n.CrossUntil(f.now).IsZero() && int(rev)+1 < len(f.edited) {
-		assert.Assert(f.t, f.now.Sub(f.edited[rev+1]) <= freshFor, "instance %d crosses at revision %d", i, rev)
+	if rev := n.Rev(); !n.CrossUntil(f.Now).IsZero() && int(rev)+1 < len(f.edited) {
+		assert.Assert(f.t, f.Now.Sub(f.edited[rev+1]) <= freshFor, "instance %d crosses at revision %d", i, rev)
 	}
 }
 
@@ -151,36 +130,34 @@
 	n.Changed(from, out)
 }
 
-func (f *fleet) deliver(d datagram) {
-	n := f.nodes[d.to]
+func (f *fleet) deliver(from, to int, body any) {
+	n := f.nodes[to]
 	if n.off {
 		return
 	}
-	f.now = d.at
 	before, out := n.Rev(), wire.Outbox{}
-	switch m := d.body.(type) {
+	switch m := body.(type) {
 	case member.Message:
-		n.Table.Receive(d.at, addr(d.from), m, &out)
-		n.Lead(d.at, addr(d.from), m.Self.Revision, &out)
+		n.Table.Receive(f.Now, addr(from), m, &out)
+		n.Lead(f.Now, addr(from), m.Self.Revision, &out)
 	case Message:
-		if n.Spread.Receive(d.at, addr(d.from), m, &out) {
+		if n.Spread.Receive(f.Now, addr(from), m, &out) {
 			n.applied(before, &wire.Outbox{})
 		}
 	}
 	assert.Assert(f.t, n.Rev() >= before)
-	f.send(d.to, &out)
+	f.send(to, &out)
 }
 
 func (f *fleet) send(from int, out *wire.Outbox) {
 	for _, s := range out.Sends {
 		if to := index(s.To); f.r.Float64() >= 0.05 && !f.cut(from, to) {
 			for range 1 + f.r.IntN(20)/19 {
-				f.n++
 				late := time.Duration(1+f.r.IntN(20)) * time.Millisecond
 				if f.r.IntN(50) == 0 {
 					late = time.Duration(f.r.IntN(8)) * time.Second
 				}
-				heap.Push(&f.q, datagram{f.now.Add(late), f.n, from, to, s.Peer.Body})
+				f.After(late, func() { f.deliver(from, to, s.Peer.Body) })
 			}
 		}
 	}
@@ -202,7 +179,7 @@
 // crossing counts the instances that may send to other domains.
 func (f *fleet) crossing() (c int) {
 	for _, n := range f.nodes {
-		if !n.off && !n.CrossUntil(f.now).IsZero() {
+		if !n.off && !n.CrossUntil(f.Now).IsZero() {
 			c++
 		}
 	}
--- a/pkg/flow/compare_test.go
+++ b/pkg/flow/compare_test.go
@@ -1,7 +1,6 @@
 package flow_test
 
 import (
-	"container/heap"
 	crand "crypto/rand"
 	"fmt"
 	"math/rand/v2"
@@ -14,6 +13,7 @@
 	"ebonypaddle/pkg/conf"
 	"ebonypaddle/pkg/flow"
 	"ebonypaddle/pkg/token"
+	"ebonypaddle/pkg/vtime"
 	"ebonypaddle/pkg/wire"
 )
 
@@ -22,28 +22,10 @@
 	service = netip.MustParseAddrPort("127.0.0.1:9000")
 )
 
-// event is something that happens at a time of the schedule.
-type event struct {
-	at  time.Time
-	seq int
-	run func()
-}
-
-type queue []event
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].seq < q[j].seq
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *queue) Pop() any     { e := (*q)[len(*q)-1]; *q = (*q)[:len(*q)-1]; return e }
-
 // schedule runs routers, flows and changes in virtual time.
 type schedule struct {
-	now     time.Time
-	queue   queue
-	seq     int
+	vtime.Clock
+
 	rnd     *rand.Rand
 	snap    conf.Snapshot
 	routers []*flow.Router
@@ -79,24 +61,9 @@
 	done   bool
 }
 
-func (s *schedule) at(d time.Duration, run func()) {
-	s.seq++
-	heap.Push(&s.queue, event{s.now.Add(d), s.seq, run})
-}
-
-func (s *schedule) runFor(d time.Duration) {
-	end := s.now.Add(d)
-	for len(s.queue) > 0 && !s.queue[0].at.After(end) {
-		e := heap.Pop(&s.queue).(event)
-		s.now = e.at
-		e.run()
-	}
-	s.now = end
-}
-
 func newSchedule(t testing.TB, m mode, seed uint64, instances, servers int) *schedule {
 	t.Helper()
-	s := &schedule{now: start, mode: m, rnd: rand.New(rand.NewPCG(seed, 1)), flows: map[uint64]*openFlow{}}
+	s := &schedule{Clock: vtime.Clock{Now: start}, mode: m, rnd: rand.New(rand.NewPCG(seed, 1)), flows: map[uint64]*openFlow{}}
 	id := conf.ServiceID(1)
 	s.snap = conf.Snapshot{
 		Rev:     1,
@@ -121,8 +88,8 @@
 	for k, v := range s.snap.Servers {
 		servers[k] = v
 	}
-	since := s.now
-	if s.now.Equal(start) {
+	since := s.Now
+	if s.Now.Equal(start) {
 		since = time.Time{}
 	}
 	servers[fmt.Sprint(id)] = conf.Server{ID: id, Service: "/h/order", Domain: "a", Generation: 1, Mark: mark, Since: since}
@@ -130,10 +97,10 @@
 	s.snap.Rev++
 	snap := s.snap
 	for i, r := range s.routers {
-		s.at(time.Duration(s.rnd.IntN(3000))*time.Millisecond, func() {
+		s.After(time.Duration(s.rnd.IntN(3000))*time.Millisecond, func() {
 			if s.alive[i] && snap.Rev > s.rev[i] {
 				s.rev[i] = snap.Rev
-				r.Apply(s.now, &snap)
+				r.Apply(s.Now, &snap)
 			}
 		})
 	}
@@ -146,7 +113,7 @@
 	i := len(s.routers)
 	r := &flow.Router{Self: fmt.Sprint(i), Box: box, Rand: s.rnd}
 	snap := s.snap
-	r.Apply(s.now, &snap)
+	r.Apply(s.Now, &snap)
 	s.routers = append(s.routers, r)
 	s.alive = append(s.alive, true)
 	s.rev = append(s.rev, snap.Rev)
@@ -158,7 +125,7 @@
 // kill ends an instance; the others hear of it within 3 s.
 func (s *schedule) kill(i int) {
 	s.alive[i] = false
-	s.at(3*time.Second, s.members)
+	s.After(3*time.Second, s.members)
 }
 
 func (s *schedule) members() {
@@ -181,8 +148,8 @@
 	if !s.alive[i] {
 		return
 	}
-	s.release(s.routers[i].Tick(s.now))
-	s.at(50*time.Millisecond, func() { s.tick(i) })
+	s.release(s.routers[i].Tick(s.Now))
+	s.After(50*time.Millisecond, func() { s.tick(i) })
 }
 
 // flush delivers the control messages of an instance after 1 to 3 ms.
@@ -192,7 +159,7 @@
 	for _, m := range out.Sends {
 		to := int(m.To.Port()) - 5000
 		s.control++
-		s.at(time.Millisecond+time.Duration(s.rnd.IntN(2000))*time.Microsecond, func() { s.deliver(i, to, m.Peer.Body) })
+		s.After(time.Millisecond+time.Duration(s.rnd.IntN(2000))*time.Microsecond, func() { s.deliver(i, to, m.Peer.Body) })
 	}
 }
 
@@ -202,13 +169,13 @@
 	}
 	switch b := body.(type) {
 	case flow.Note:
-		s.routers[to].HandleNote(s.now, b)
+		s.routers[to].HandleNote(s.Now, b)
 	case flow.Question:
-		reply := s.routers[to].HandleQuestion(s.now, b)
+		reply := s.routers[to].HandleQuestion(s.Now, b)
 		s.control++
-		s.at(2*time.Millisecond, func() { s.deliver(to, from, reply) })
+		s.After(2*time.Millisecond, func() { s.deliver(to, from, reply) })
 	case flow.Reply:
-		s.release(s.routers[to].HandleReply(s.now, b))
+		s.release(s.routers[to].HandleReply(s.Now, b))
 	}
 }
 
@@ -262,10 +229,10 @@
 	s.flows[id] = f
 	i := s.pickInstance()
 	r := s.routers[i]
-	rt := r.Route(s.now, s.packet(id, wire.KindOpen))
+	rt := r.Route(s.Now, s.packet(id, wire.KindOpen))
 	if s.mode == withToken {
 		f.server = s.place(r)
-		f.token, _ = r.Opened(s.now, nil, 1, f.server, 1, id)
+		f.token, _ = r.Opened(s.Now, nil, 1, f.server, 1, id)
 	} else {
 		f.server = rt.Server
 		s.seen[i][id] = rt.Server
@@ -273,14 +240,14 @@
 	s.flush(i)
 	// The caller learns after a round trip of at least 4 ms that its flow is
 	// open, and sends only then.
-	s.at(4*time.Millisecond, func() { s.send(id) })
+	s.After(4*time.Millisecond, func() { s.send(id) })
 }
 
 // place chooses a random server that the instance may give new flows to.
 func (s *schedule) place(r *flow.Router) conf.ServerID {
 	for {
 		id := conf.ServerID(s.rnd.IntN(len(s.snap.Servers)) + 1)
-		if r.Placeable(s.now, id) {
+		if r.Placeable(s.Now, id) {
 			return id
 		}
 	}
@@ -295,22 +262,22 @@
 	r := s.routers[i]
 	switch s.mode {
 	case hashOnly:
-		s.arrive(id, r.Route(s.now, s.packet(id, wire.KindOpen)))
+		s.arrive(id, r.Route(s.Now, s.packet(id, wire.KindOpen)))
 	case hashLocal:
 		server, ok := s.seen[i][id]
 		if !ok {
-			server = r.Route(s.now, s.packet(id, wire.KindOpen)).Server
+			server = r.Route(s.Now, s.packet(id, wire.KindOpen)).Server
 			s.seen[i][id] = server
 		}
 		s.arrive(id, flow.Route{Verdict: flow.Forward, Server: server})
 	default:
-		rt := r.Route(s.now, s.packet(id, wire.KindData))
+		rt := r.Route(s.Now, s.packet(id, wire.KindData))
 		s.flush(i)
 		if rt.Verdict != flow.Hold {
 			s.arrive(id, rt)
 		}
 	}
-	s.at(time.Second, func() { s.send(id) })
+	s.After(time.Second, func() { s.send(id) })
 }
 
 // planned is a schedule of drains, joins, an instance that stops and one that
@@ -318,21 +285,21 @@
 func planned(t testing.TB, m mode, seed uint64) *schedule {
 	s := newSchedule(t, m, seed, 8, 14)
 	for range 500 {
-		s.at(time.Duration(s.rnd.IntN(5000))*time.Millisecond, s.open)
+		s.After(time.Duration(s.rnd.IntN(5000))*time.Millisecond, s.open)
 	}
 	for range 500 {
-		s.at(5*time.Second+time.Duration(s.rnd.IntN(60_000))*time.Millisecond, s.open)
+		s.After(5*time.Second+time.Duration(s.rnd.IntN(60_000))*time.Millisecond, s.open)
 	}
-	s.at(10*time.Second, func() { s.setServer(3, conf.MarkLeaving) })
-	s.at(15*time.Second, func() { s.setServer(15, conf.MarkIn) })
-	s.at(17*time.Second, func() { s.kill(2) })
-	s.at(22*time.Second, func() { s.join(t) })
-	s.at(30*time.Second, func() { s.setServer(4, conf.MarkLeaving) })
-	s.at(31*time.Second, func() { s.setServer(16, conf.MarkIn) })
-	s.at(33*time.Second, func() { s.kill(5) })
-	s.at(36*time.Second, func() { s.join(t) })
-	s.at(45*time.Second, func() { s.setServer(3, conf.MarkIn) })
-	s.runFor(3 * time.Minute)
+	s.After(10*time.Second, func() { s.setServer(3, conf.MarkLeaving) })
+	s.After(15*time.Second, func() { s.setServer(15, conf.MarkIn) })
+	s.After(17*time.Second, func() { s.kill(2) })
+	s.After(22*time.Second, func() { s.join(t) })
+	s.After(30*time.Second, func() { s.setServer(4, conf.MarkLeaving) })
+	s.After(31*time.Second, func() { s.setServer(16, conf.MarkIn) })
+	s.After(33*time.Second, func() { s.kill(5) })
+	s.After(36*time.Second, func() { s.join(t) })
+	s.After(45*time.Second, func() { s.setServer(3, conf.MarkIn) })
+	s.RunFor(3 * time.Minute)
 	return s
 }
 
@@ -361,10 +328,10 @@
 		t.Run(m.String(), func(t *testing.T) {
 			s := newSchedule(t, m, 1, 8, 14)
 			for range 1000 {
-				s.at(time.Duration(s.rnd.IntN(5000))*time.Millisecond, s.open)
+				s.After(time.Duration(s.rnd.IntN(5000))*time.Millisecond, s.open)
 			}
-			s.at(10*time.Second, func() { s.setServer(3, conf.MarkRemoved) })
-			s.runFor(30 * time.Second)
+			s.After(10*time.Second, func() { s.setServer(3, conf.MarkRemoved) })
+			s.RunFor(30 * time.Second)
 			assert.Equal(t, s.broken, 0)
 			assert.Assert(t, s.died > 0)
 		})
--- a/pkg/flow/router_test.go
+++ b/pkg/flow/router_test.go
@@ -17,7 +17,7 @@
 	s := newSchedule(t, withToken, 1, 1, 2)
 	r := s.routers[0]
 	issue := func(svc conf.ServiceID, id conf.ServerID, gen uint32, fl uint64) []byte {
-		tok, err := r.Opened(s.now, nil, svc, id, gen, fl)
+		tok, err := r.Opened(s.Now, nil, svc, id, gen, fl)
 		assert.NilError(t, err)
 		return tok
 	}
@@ -38,10 +38,10 @@
 		{"domain out", issue(1, 1, 1, 5), &out, flow.Route{Reason: wire.ReasonDomainOut}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			r.Apply(s.now, tc.snap)
+			r.Apply(s.Now, tc.snap)
 			p := &wire.Packet{Service: service}
 			p.Frame = wire.Frame{Kind: wire.KindData, Flow: 5, Token: tc.token}
-			assert.Equal(t, r.Route(s.now, p), tc.want)
+			assert.Equal(t, r.Route(s.Now, p), tc.want)
 		})
 	}
 }
@@ -49,10 +49,10 @@
 // Guards against new flows on a server that some instances have not heard of.
 func TestNewServerWaitsForAllInstances(t *testing.T) {
 	s := newSchedule(t, withToken, 1, 1, 2)
-	s.runFor(time.Minute)
+	s.RunFor(time.Minute)
 	s.setServer(3, conf.MarkIn)
-	joined := s.now
-	s.runFor(3 * time.Second)
+	joined := s.Now
+	s.RunFor(3 * time.Second)
 	assert.Assert(t, !s.routers[0].Placeable(joined.Add(3999*time.Millisecond), 3))
 	assert.Assert(t, s.routers[0].Placeable(joined.Add(4*time.Second), 3))
 }
@@ -62,7 +62,7 @@
 	p := &wire.Packet{Service: service}
 	p.Frame = wire.Frame{Kind: wire.KindData, Flow: 5}
 	if m == withToken {
-		p.Frame.Token, _ = s.routers[0].Opened(s.now, nil, 1, 1, 1, 5)
+		p.Frame.Token, _ = s.routers[0].Opened(s.Now, nil, 1, 1, 1, 5)
 	} else {
 		p.Frame.Flags = wire.FlagStateless
 	}
--- a/pkg/member/table_test.go
+++ b/pkg/member/table_test.go
@@ -102,7 +102,7 @@
 				u := Update{Addr: addr(1), Incarnation: rapid.Uint64Range(1, 4).Draw(t, "inc"),
 					State: State(rapid.IntRange(1, 3).Draw(t, "state"))}
 				old, _ := n.Get(addr(1))
-				n.merge(l.now, u, false)
+				n.merge(l.Now, u, false)
 				m, _ := n.Get(addr(1))
 				same := m.Incarnation == old.Incarnation
 				assert.Assert(t, m.Incarnation > old.Incarnation || same && m.State >= old.State)
@@ -110,7 +110,7 @@
 			"self": func(t *rapid.T) {
 				u := n.Me()
 				u.State = State(rapid.IntRange(2, 3).Draw(t, "state"))
-				n.merge(l.now, u, false)
+				n.merge(l.Now, u, false)
 				assert.Equal(t, n.Me().Incarnation, u.Incarnation+1)
 			},
 		})
@@ -122,12 +122,12 @@
 	l := newLossy(t, 2, 1, 0)
 	l.run(3 * time.Second)
 	n, out := l.nodes[0], wire.Outbox{}
-	n.probe(l.now, addr(1), &out)
+	n.probe(l.Now, addr(1), &out)
 	m := out.Sends[0].Peer.Body.(Message)
 	ack := Message{Nonce: m.Nonce, Ack: true, Self: l.nodes[1].Me()}
 	acks := n.Counters.Acks
-	n.Receive(l.now, addr(1), ack, &out)
-	n.Receive(l.now, addr(1), ack, &out)
+	n.Receive(l.Now, addr(1), ack, &out)
+	n.Receive(l.Now, addr(1), ack, &out)
 	assert.Equal(t, n.Counters.Acks, acks+1)
 	assert.Equal(t, n.Counters.UnknownNonce, uint64(1))
 }
--- a/pkg/pick/load_test.go
+++ b/pkg/pick/load_test.go
@@ -110,17 +110,17 @@
 			be := s.backends[c.id]
 			be.boot, be.coldDone = 2, 60
 			known, warm := time.Duration(0), 0
-			for s.now = 5 * time.Second; warm < c.instances || known == 0; {
-				s.run(s.now + 5*time.Millisecond)
+			for warm < c.instances || known == 0 {
+				s.run(s.at() + 5*time.Millisecond)
 				total := 0
 				if total, warm = s.view(c.id); known == 0 && warm == 0 {
-					known = s.now
+					known = s.at()
 				}
 				busy := be.busy + len(be.queue)
-				assert.Assert(t, known == 0 || warm > 0 || s.now < known+callerFor || busy <= total, "%d of %d at %v", busy, total, s.now)
-				assert.Assert(t, s.now < 5*time.Second+c.within, "not warm at %v", s.now)
+				assert.Assert(t, known == 0 || warm > 0 || s.at() < known+callerFor || busy <= total, "%d of %d at %v", busy, total, s.at())
+				assert.Assert(t, s.at() < 5*time.Second+c.within, "not warm at %v", s.at())
 			}
-			t.Logf("known to all after %v, warm after %v", known-5*time.Second, s.now-5*time.Second)
+			t.Logf("known to all after %v, warm after %v", known-5*time.Second, s.at()-5*time.Second)
 			assert.Assert(t, known < 5500*time.Millisecond, "known at %v", known)
 		})
 	}
--- a/pkg/pick/sim_test.go
+++ b/pkg/pick/sim_test.go
@@ -1,7 +1,6 @@
 package pick
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -11,25 +10,10 @@
 	"ebonypaddle/pkg/conf"
 	"ebonypaddle/pkg/retry"
 	"ebonypaddle/pkg/server"
+	"ebonypaddle/pkg/vtime"
 	"ebonypaddle/pkg/wire"
 )
 
-// event is something due at a virtual time.
-type event struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any     { x := (*e)[len(*e)-1]; *e = (*e)[:len(*e)-1]; return x }
-
 // backend is a server with 2 slots, a queue of 4 and reports 300 ms old.
 type backend struct {
 	service  time.Duration
@@ -52,12 +36,11 @@
 }
 
 type sim struct {
+	vtime.Clock
+
 	r         *rand.Rand
 	policy    string
 	cut       bool // instances are not fresh for other domains
-	queue     events
-	now       time.Duration
-	seq       int
 	backends  []*backend
 	instances []*balancer
 	requests  int
@@ -75,7 +58,7 @@
 )
 
 func newSim(policy string, seed uint64) *sim {
-	s := &sim{policy: policy, r: rand.New(rand.NewPCG(seed, 9))}
+	s := &sim{Clock: vtime.Clock{Now: begin}, policy: policy, r: rand.New(rand.NewPCG(seed, 9))}
 	cfg := settings(14)
 	for i := range 14 {
 		speed := []int{1, 2, 4, 8}[(i*5+i/4)%4]
@@ -84,32 +67,21 @@
 	for i := range 8 {
 		b := &balancer{table: &server.Table{Rand: s.r}, budget: retry.Budget{Ratio: 0.1, Burst: 10, Window: 10 * time.Second}, flying: make([]int, 14)}
 		b.Entry, b.Domain, b.Rand, b.Servers = fmt.Sprintf("%c%d", 'a'+i/2, i%2), string(rune('a'+i/2)), s.r, b.table
-		b.table.Apply(s.clock(), cfg)
-		b.Apply(s.clock(), cfg)
+		b.table.Apply(s.Now, cfg)
+		b.Apply(s.Now, cfg)
 		s.instances = append(s.instances, b)
 		for id := range 14 {
-			b.table.Merge(s.clock(), []server.Update{{Server: conf.ServerID(id + 1), Generation: 1, Boot: 1, Stage: 3, Heard: s.clock().UnixMilli()}})
+			b.table.Merge(s.Now, []server.Update{{Server: conf.ServerID(id + 1), Generation: 1, Boot: 1, Stage: 3, Heard: s.Now.UnixMilli()}})
 		}
 	}
-	s.after(0, s.tick)
+	s.After(0, s.tick)
 	return s
 }
 
-func (s *sim) clock() time.Time { return begin.Add(s.now) }
+// at returns the time since the simulation began.
+func (s *sim) at() time.Duration { return s.Now.Sub(begin) }
 
-func (s *sim) after(d time.Duration, do func()) {
-	s.seq++
-	heap.Push(&s.queue, event{s.now + d, s.seq, do})
-}
-
-func (s *sim) run(until time.Duration) {
-	for len(s.queue) > 0 && s.queue[0].at < until {
-		e := heap.Pop(&s.queue).(event)
-		s.now = e.at
-		e.do()
-	}
-	s.now = until
-}
+func (s *sim) run(until time.Duration) { s.RunUntil(begin.Add(until)) }
 
 // tick answers probes and records the loads that reports show 300 ms later.
 func (s *sim) tick() {
@@ -117,11 +89,11 @@
 		b.history = append(b.history, b.busy+len(b.queue))
 	}
 	for _, b := range s.instances {
-		for _, p := range b.table.Probes(s.clock(), nil) {
+		for _, p := range b.table.Probes(s.Now, nil) {
 			s.heard(b, int(p.Server)-1, wire.KindProbed, 0, 0)
 		}
 	}
-	s.after(100*time.Millisecond, s.tick)
+	s.After(100*time.Millisecond, s.tick)
 }
 
 // heard hands a frame of server id to an instance and spreads its news.
@@ -129,12 +101,12 @@
 	be := s.backends[id]
 	f := wire.Frame{Kind: kind, Service: 7, Server: conf.ServerID(id + 1), Generation: 1, Boot: be.boot, Flags: flags}
 	f.Load.InFlight = uint16(be.history[max(len(be.history)-4, 0)])
-	b.table.Heard(s.clock(), be.addr, &f, latency)
-	b.Reported(s.clock(), f.Server, f.Load)
+	b.table.Heard(s.Now, be.addr, &f, latency)
+	b.Reported(s.Now, f.Server, f.Load)
 	if b.table.Urgent() {
 		news := b.table.Updates(nil)
 		for _, other := range s.instances {
-			s.after(2*time.Millisecond, func() { other.table.Merge(s.clock(), news) })
+			s.After(2*time.Millisecond, func() { other.table.Merge(s.Now, news) })
 		}
 	}
 }
@@ -149,12 +121,12 @@
 	var arrive func()
 	arrive = func() {
 		b := s.instances[[]int{0, 1, 2, 2, 3, 3, 4, 4, 4, 5, 5, 5, 6, 6, 6, 6, 7, 7, 7, 7}[s.r.IntN(20)]%len(s.instances)]
-		if s.now > simWarmup {
+		if s.at() > simWarmup {
 			s.requests++
 		}
-		b.budget.Earn(s.clock())
-		s.try(b, &request{start: s.now, ask: Ask{Service: 7, Deadline: s.clock().Add(callerFor)}})
-		s.after(time.Duration(s.r.ExpFloat64()/(perSecond*rate)*float64(time.Second)), arrive)
+		b.budget.Earn(s.Now)
+		s.try(b, &request{start: s.at(), ask: Ask{Service: 7, Deadline: s.Now.Add(callerFor)}})
+		s.After(time.Duration(s.r.ExpFloat64()/(perSecond*rate)*float64(time.Second)), arrive)
 	}
 	arrive()
 }
@@ -165,18 +137,18 @@
 }
 
 func (s *sim) try(b *balancer, q *request) {
-	q.ask.CrossUntil, q.ask.ColdUntil = s.clock().Add(fresh), s.clock().Add(fresh)
+	q.ask.CrossUntil, q.ask.ColdUntil = s.Now.Add(fresh), s.Now.Add(fresh)
 	if s.cut {
-		q.ask.CrossUntil = s.clock()
+		q.ask.CrossUntil = s.Now
 	}
 	c, reason := s.choose(b, q)
 	if reason != wire.ReasonNone {
-		if s.now > simWarmup {
+		if s.at() > simWarmup {
 			s.refused++
 		}
 		return
 	}
-	id, sent, over := int(c.Server)-1, s.now, false
+	id, sent, over := int(c.Server)-1, s.at(), false
 	b.flying[id]++
 	end := func(o Outcome) {
 		if over {
@@ -184,30 +156,30 @@
 		}
 		over = true
 		b.flying[id]--
-		b.Finished(s.clock(), c, Result{Outcome: o, Latency: s.now - sent})
+		b.Finished(s.Now, c, Result{Outcome: o, Latency: s.at() - sent})
 		if o == Done {
-			s.heard(b, id, wire.KindAnswer, 0, s.now-sent)
+			s.heard(b, id, wire.KindAnswer, 0, s.at()-sent)
 			s.finish(q)
 			return
 		}
 		if o == Shed {
 			s.heard(b, id, wire.KindRefusal, wire.FlagShed, 0)
 		} else {
-			b.table.TimedOut(s.clock(), c.Server)
+			b.table.TimedOut(s.Now, c.Server)
 		}
 		q.ask.Tried = append(q.ask.Tried, c.Server)
-		if len(q.ask.Tried) < tries && b.budget.Spend(s.clock()) {
+		if len(q.ask.Tried) < tries && b.budget.Spend(s.Now) {
 			s.try(b, q)
 		}
 	}
-	s.after(hop, func() { s.serve(s.backends[id], c.Deadline, end) })
-	s.after(c.Deadline.Sub(s.clock())+2*hop, func() { end(TimedOut) })
+	s.After(hop, func() { s.serve(s.backends[id], c.Deadline, end) })
+	s.After(c.Deadline.Sub(s.Now)+2*hop, func() { end(TimedOut) })
 }
 
 func (s *sim) finish(q *request) {
 	if q.start > simWarmup {
 		s.good++
-		s.latencies = append(s.latencies, s.now-q.start)
+		s.latencies = append(s.latencies, s.at()-q.start)
 	}
 }
 
@@ -219,15 +191,15 @@
 			d *= 4
 		}
 		be.busy++
-		left := deadline.Sub(s.clock())
-		s.after(max(min(d, left), 0), func() {
+		left := deadline.Sub(s.Now)
+		s.After(max(min(d, left), 0), func() {
 			be.busy--
 			if d <= left {
 				be.coldDone = max(be.coldDone-1, 0)
-				if s.now > simWarmup {
+				if s.at() > simWarmup {
 					be.useful += d
 				}
-				s.after(hop, func() { end(Done) })
+				s.After(hop, func() { end(Done) })
 			}
 			if len(be.queue) > 0 && be.busy < 2 {
 				next := be.queue[0]
@@ -242,14 +214,14 @@
 	case len(be.queue) < 4:
 		be.queue = append(be.queue, run)
 	default:
-		s.after(hop, func() { end(Shed) })
+		s.After(hop, func() { end(Shed) })
 	}
 }
 
 // choose applies the policy under test: ours or a baseline.
 func (s *sim) choose(b *balancer, q *request) (Choice, wire.Reason) {
 	if s.policy == "picker" {
-		return b.Place(s.clock(), &q.ask)
+		return b.Place(s.Now, &q.ask)
 	}
 	best := -1
 	for i, n := range s.r.Perm(14) {
@@ -264,7 +236,7 @@
 		}
 	}
 	b.turn = best
-	deadline := s.clock().Add(500 * time.Millisecond)
+	deadline := s.Now.Add(500 * time.Millisecond)
 	if q.ask.Deadline.Before(deadline) {
 		deadline = q.ask.Deadline
 	}
