--- a/pkg/calls/bench_test.go
+++ b/pkg/calls/bench_test.go
@@ -29,7 +29,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				r.tb[0].HandleRequest(r.now, service, &p, &r.out)
-				r.reply(0, &r.out.Sends[0], 0, 1, nil)
+				r.reply(&r.out.Sends[0], 0, 1, nil)
 				r.out.Reset()
 			}
 		})
@@ -51,9 +51,9 @@
 		for len(r.out.Sends) > 0 && r.out.Sends[0].Target == wire.ToServer {
 			s := r.one(wire.ToServer)
 			if sends++; sends%2 == 0 {
-				r.reply(0, s, 0, 1, shed)
+				r.reply(s, 0, 1, shed)
 			} else {
-				r.reply(0, s, 0, 1, nil)
+				r.reply(s, 0, 1, nil)
 			}
 		}
 		if r.one(wire.ToCaller).Packet.Frame.Outcome == wire.OutcomeDone {
--- a/pkg/calls/calls_test.go
+++ b/pkg/calls/calls_test.go
@@ -68,22 +68,22 @@
 }
 
 // ticketed returns a once-only request with a ticket of instance 0.
-func (r *rig) ticketed(id byte) wire.Packet {
-	p := packet(id, wire.FlagOnce)
+func (r *rig) ticketed() wire.Packet {
+	p := packet(1, wire.FlagOnce)
 	r.request(0, p)
 	p.Frame.Token = r.refusal(wire.OutcomeNotRun, wire.ReasonTicketNeeded).Token
 	return p
 }
 
-// reply answers the server frame s with one part.
-func (r *rig) reply(i int, s *wire.Send, part, parts uint16, change func(*wire.Frame)) {
+// reply answers instance 0's server frame s with one part.
+func (r *rig) reply(s *wire.Send, part, parts uint16, change func(*wire.Frame)) {
 	p := s.Packet
 	p.Frame.Kind, p.Frame.Part, p.Frame.Parts, p.Frame.Boot = wire.KindAnswer, part, parts, 1
 	p.Frame.Body = fmt.Appendf(nil, "part %d", part)
 	if change != nil {
 		change(&p.Frame)
 	}
-	r.tb[i].HandleAnswer(r.now, &p, &r.out)
+	r.tb[0].HandleAnswer(r.now, &p, &r.out)
 }
 
 func shed(f *wire.Frame) { f.Kind, f.Flags = wire.KindRefusal, wire.FlagShed }
@@ -92,7 +92,7 @@
 func TestOwnerDies(t *testing.T) {
 	t.Run("relay without acknowledgement", func(t *testing.T) {
 		r := newRig(t)
-		r.request(1, r.ticketed(1))
+		r.request(1, r.ticketed())
 		for range 2 {
 			assert.Equal(t, r.one(wire.ToPeer).To, r.tb[0].Self)
 			r.tick(249 * time.Millisecond)
@@ -103,7 +103,7 @@
 	})
 	t.Run("another incarnation", func(t *testing.T) {
 		r := newRig(t)
-		p := r.ticketed(1)
+		p := r.ticketed()
 		r.tb[0], _ = newTable(0, 2)
 		r.request(0, p)
 		r.refusal(wire.OutcomeUnknown, wire.ReasonOwnerGone)
@@ -114,7 +114,7 @@
 // the server gets a deadline from the caller's timeout.
 func TestOwnerPaused(t *testing.T) {
 	r := newRig(t)
-	p := r.ticketed(1)
+	p := r.ticketed()
 	r.request(0, p)
 	s := r.one(wire.ToServer)
 	assert.Equal(t, s.Packet.Frame.DeadlineTime(), start.Add(time.Second))
@@ -122,7 +122,7 @@
 	got := r.sends()
 	assert.Equal(t, got[0].Packet.Frame.Kind, wire.KindCancel)
 	assert.Equal(t, got[1].Packet.Frame.Outcome, wire.OutcomeUnknown)
-	r.reply(0, s, 0, 1, nil)
+	r.reply(s, 0, 1, nil)
 	assert.Equal(t, len(r.sends()), 0)
 	r.request(0, p)
 	assert.Equal(t, r.one(wire.ToCaller).Packet.Frame.Outcome, wire.OutcomeDone)
@@ -153,11 +153,11 @@
 	r.tick(limits.Attempt)
 	second := &r.sends()[1]
 	assert.Assert(t, second.Packet.Frame.Server != first.Packet.Frame.Server)
-	r.reply(0, first, 0, 1, shed)
-	r.reply(0, first, 0, 1, nil)
+	r.reply(first, 0, 1, shed)
+	r.reply(first, 0, 1, nil)
 	assert.Equal(t, len(r.sends()), 0)
 	assert.Equal(t, r.tb[0].Stats.Dropped.Get(wire.ReasonLateAnswer), uint64(2))
-	r.reply(0, second, 0, 1, nil)
+	r.reply(second, 0, 1, nil)
 	assert.Equal(t, r.one(wire.ToCaller).Packet.Frame.Outcome, wire.OutcomeDone)
 	assert.Equal(t, r.tb[0].Stats.Retried.Get(wire.ReasonRetryTimeout), uint64(1))
 }
@@ -176,13 +176,13 @@
 	for name, lie := range lies {
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t)
-			r.request(0, r.ticketed(1))
+			r.request(0, r.ticketed())
 			s := r.one(wire.ToServer)
-			r.reply(0, s, 0, 2, nil)
+			r.reply(s, 0, 2, nil)
 			assert.Equal(t, r.one(wire.ToCaller).Packet.Frame.Outcome, wire.OutcomeNone)
-			r.reply(0, s, 1, 2, lie)
+			r.reply(s, 1, 2, lie)
 			assert.Equal(t, len(r.sends()), 0)
-			r.reply(0, s, 1, 2, shed)
+			r.reply(s, 1, 2, shed)
 			r.refusal(wire.OutcomeUnknown, wire.ReasonServerShed)
 		})
 	}
@@ -191,11 +191,11 @@
 // A repeat must get every part of the stored answer, from any address.
 func TestRepeatGetsStoredAnswer(t *testing.T) {
 	r := newRig(t)
-	p := r.ticketed(1)
+	p := r.ticketed()
 	r.request(0, p)
 	s := r.one(wire.ToServer)
-	r.reply(0, s, 1, 2, nil)
-	r.reply(0, s, 0, 2, nil)
+	r.reply(s, 1, 2, nil)
+	r.reply(s, 0, 2, nil)
 	assert.Equal(t, len(r.sends()), 2)
 	p.Caller = addr(3, 9)
 	r.request(0, p)
@@ -215,7 +215,7 @@
 func TestRefusals(t *testing.T) {
 	t.Run("no server is stored as notRun", func(t *testing.T) {
 		r := newRig(t)
-		p := r.ticketed(1)
+		p := r.ticketed()
 		r.pl[0].refuse = wire.ReasonOverloaded
 		r.request(0, p)
 		r.refusal(wire.OutcomeNotRun, wire.ReasonOverloaded)
@@ -225,7 +225,7 @@
 	})
 	t.Run("second identifier", func(t *testing.T) {
 		r := newRig(t)
-		p := r.ticketed(1)
+		p := r.ticketed()
 		r.request(0, p)
 		r.one(wire.ToServer)
 		p.Frame.ID[0]++
@@ -234,7 +234,7 @@
 	})
 	t.Run("cancel before request", func(t *testing.T) {
 		r := newRig(t)
-		p := r.ticketed(1)
+		p := r.ticketed()
 		p.Frame.Kind = wire.KindCancel
 		r.tb[0].HandleCancel(r.now, service, &p, &r.out)
 		r.refusal(wire.OutcomeNotRun, wire.ReasonCancelled)
@@ -244,13 +244,13 @@
 	})
 	t.Run("wrong service", func(t *testing.T) {
 		r := newRig(t)
-		p := r.ticketed(1)
+		p := r.ticketed()
 		r.tb[0].HandleRequest(r.now, service+1, &p, &r.out)
 		r.refusal(wire.OutcomeUnknown, wire.ReasonWrongService)
 	})
 	t.Run("stopping", func(t *testing.T) {
 		r := newRig(t)
-		p := r.ticketed(1)
+		p := r.ticketed()
 		r.tb[0].Leave()
 		r.request(0, packet(2, wire.FlagOnce))
 		r.refusal(wire.OutcomeNotRun, wire.ReasonStopping)
@@ -264,7 +264,7 @@
 	t.Run("full table keeps what it holds", func(t *testing.T) {
 		r := newRig(t)
 		r.tb[0].MaxTickets = 1
-		p := r.ticketed(1)
+		p := r.ticketed()
 		r.request(0, packet(2, wire.FlagOnce))
 		r.refusal(wire.OutcomeNotRun, wire.ReasonTableFull)
 		r.request(0, p)
@@ -272,12 +272,12 @@
 	})
 	t.Run("answer that does not fit", func(t *testing.T) {
 		r := newRig(t)
-		p := r.ticketed(1)
+		p := r.ticketed()
 		r.tb[0].MaxBytes = 40
 		r.request(0, p)
 		s := r.one(wire.ToServer)
-		r.reply(0, s, 0, 2, nil)
-		r.reply(0, s, 1, 2, nil)
+		r.reply(s, 0, 2, nil)
+		r.reply(s, 1, 2, nil)
 		assert.Equal(t, r.sends()[1].Packet.Frame.Outcome, wire.OutcomeDone)
 		assert.Equal(t, r.tb[0].Size().Bytes, 0)
 		r.request(0, p)
@@ -288,7 +288,7 @@
 // The largest relayed request must fit into a sealed control datagram.
 func TestRelayFits(t *testing.T) {
 	r := newRig(t)
-	p := r.ticketed(1)
+	p := r.ticketed()
 	p.Frame.Flow, p.Frame.Body = 1<<63, make([]byte, wire.MaxBody)
 	r.request(1, p)
 	s := r.one(wire.ToPeer)
