calls: test what follows a shed request

Cause: two promises of the package comment had no test of their own: a request with a ticket that a server sheds is never sent again, and a repeatable request that ends after a shed without budget or server is unknown, not notRun. Change: TestShedTicketIsNotSentAgain sheds, repeats and ticks until the ticket expires; TestShedRepeatableEndsUnknown ends with retryBudget and noServer. Ruled out: relying on TestStateMachine alone, which finds such faults by chance. Both pass on the code as it is. Conclusion: the promises hold, and removing either mechanism is noticed.

--- a/pkg/calls/calls_test.go
+++ b/pkg/calls/calls_test.go
@@ -285,6 +285,53 @@
 	})
 }
 
+// A request with a ticket that a server sheds is reported as notRun. A second
+// send after the shed, a repeat or a tick could run it all the same.
+func TestShedTicketIsNotSentAgain(t *testing.T) {
+	for name, tc := range map[string]struct {
+		flags uint8
+		why   wire.Reason
+	}{
+		"busy": {wire.FlagShed, wire.ReasonServerShed},
+		"cold": {wire.FlagShed | wire.FlagCold, wire.ReasonColdLimit},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			p := r.ticketed()
+			r.request(0, p)
+			r.reply(r.one(wire.ToServer), 0, 1, func(f *wire.Frame) { f.Kind, f.Flags = wire.KindRefusal, tc.flags })
+			for range 3 {
+				assert.DeepEqual(t, r.refusal(wire.OutcomeNotRun, tc.why).Token, p.Frame.Token)
+				r.tick(limits.Attempt)
+				r.request(0, p)
+			}
+			r.refusal(wire.OutcomeNotRun, tc.why)
+			r.tick(ticketTime)
+			assert.Equal(t, len(r.sends()), 0)
+			assert.Equal(t, r.pl[0].next, 1, "placements")
+		})
+	}
+}
+
+// A repeatable request whose last attempt was shed may run through another
+// instance that got a copy of the frame. Reporting it as notRun would be false.
+func TestShedRepeatableEndsUnknown(t *testing.T) {
+	for why, block := range map[wire.Reason]func(*rig){
+		wire.ReasonRetryBudget: func(r *rig) { r.tb[0].Budget = &budget{} },
+		wire.ReasonNoServer:    func(r *rig) { r.pl[0].refuse = wire.ReasonNoServer },
+	} {
+		t.Run(why.String(), func(t *testing.T) {
+			r := newRig(t)
+			r.request(0, packet(1, 0))
+			block(r)
+			r.reply(r.one(wire.ToServer), 0, 1, shed)
+			r.refusal(wire.OutcomeUnknown, why)
+			assert.DeepEqual(t, r.pl[0].results, []calls.Result{calls.ResultShed})
+			assert.Equal(t, r.tb[0].Size(), calls.Size{})
+		})
+	}
+}
+
 // The largest relayed request must fit into a sealed control datagram.
 func TestRelayFits(t *testing.T) {
 	r := newRig(t)
