wire: leave the destination untouched by refused input

Cause: Decode set the addresses of a packet and DecodeFrame cleared its frame before validation ended, and DecodePeer returned part of a refused message. Change: refused input restores the frame, and addresses are set last. A request identifier is a byte string of exactly 16 bytes. Unknown flags and frames with a body above MaxBody pass: the request table refuses such bodies with an outcome for the caller. Conclusion: refused input has a reason and no effect.

--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -1,15 +1,10 @@
 package wire
 
 import (
-	"bufio"
-	"bytes"
-	"errors"
 	"fmt"
-	"net"
 	"net/netip"
 
 	"github.com/fxamacker/cbor/v2"
-	"github.com/pires/go-proxyproto"
 )
 
 // MaxFrame is the largest encoded frame in bytes. With the PROXY and IP
@@ -47,11 +42,6 @@
 // Unwrap returns the cause.
 func (e *DecodeError) Unwrap() error { return e.Err }
 
-var (
-	errNoHeader  = errors.New("no PROXY protocol v2 header")
-	errAddresses = errors.New("PROXY header without UDP addresses")
-)
-
 var (
 	encMode = mustEnc()
 	decMode = mustDec()
@@ -93,16 +83,25 @@
 	return b, nil
 }
 
-// DecodeFrame parses a frame. A refused frame yields a *DecodeError.
+// DecodeFrame parses a frame that fills all of b. A refused frame yields a
+// *DecodeError and leaves f as it was. The byte slices of f are new, so that b
+// may be reused.
 func DecodeFrame(b []byte, f *Frame) error {
 	if len(b) > MaxFrame {
 		return &DecodeError{ReasonTooLarge, fmt.Errorf("%d bytes exceed the limit of %d", len(b), MaxFrame)}
 	}
+	old := *f
 	*f = Frame{}
-	if err := decMode.Unmarshal(b, f); err != nil {
-		return &DecodeError{ReasonMalformed, err}
+	err := decMode.Unmarshal(b, f)
+	if err != nil {
+		err = &DecodeError{ReasonMalformed, err}
+	} else {
+		err = f.check()
+	}
+	if err != nil {
+		*f = old
 	}
-	return f.check()
+	return err
 }
 
 func (f *Frame) check() error {
@@ -117,7 +116,7 @@
 		return &DecodeError{ReasonTooLarge, fmt.Errorf("token of %d bytes exceeds the limit of %d", len(f.Token), MaxToken)}
 	case f.Parts > MaxParts:
 		return &DecodeError{ReasonTooLarge, fmt.Errorf("%d parts exceed the limit of %d", f.Parts, MaxParts)}
-	case f.Parts > 0 && f.Part >= f.Parts:
+	case f.Part > 0 && f.Part >= f.Parts:
 		return &DecodeError{ReasonMalformed, fmt.Errorf("part %d of %d", f.Part, f.Parts)}
 	}
 	return nil
@@ -136,55 +135,16 @@
 	return append(b, body...), nil
 }
 
-// EncodeHeader returns the PROXY header that precedes a frame.
-func EncodeHeader(caller, service netip.AddrPort) ([]byte, error) {
-	h := proxyproto.Header{
-		Version:           2,
-		Command:           proxyproto.PROXY,
-		TransportProtocol: proxyproto.UDPv4,
-		SourceAddr:        net.UDPAddrFromAddrPort(caller),
-		DestinationAddr:   net.UDPAddrFromAddrPort(service),
-	}
-	if caller.Addr().Is6() {
-		h.TransportProtocol = proxyproto.UDPv6
-	}
-	b, err := h.Format()
-	if err != nil {
-		return nil, fmt.Errorf("encode PROXY header: %w", err)
-	}
-	return b, nil
-}
-
-// Decode parses a datagram. A refused one yields a *DecodeError.
+// Decode parses a datagram. A refused one yields a *DecodeError and leaves p
+// as it was.
 func Decode(b []byte, p *Packet) error {
 	caller, service, rest, err := DecodeHeader(b)
 	if err != nil {
 		return err
 	}
-	p.Caller, p.Service = caller, service
-	return DecodeFrame(rest, &p.Frame)
-}
-
-// DecodeHeader parses the PROXY header of a datagram and returns its addresses
-// and the bytes after it. A refused header yields a *DecodeError.
-func DecodeHeader(b []byte) (caller, service netip.AddrPort, rest []byte, err error) {
-	rd := bytes.NewReader(b)
-	buf := bufio.NewReaderSize(rd, len(b)+16)
-	h, err := proxyproto.Read(buf)
-	if err != nil {
-		return caller, service, nil, &DecodeError{ReasonMalformed, err}
-	}
-	if h.Version != 2 {
-		return caller, service, nil, &DecodeError{ReasonMalformed, errNoHeader}
-	}
-	src, dst, ok := h.UDPAddrs()
-	if !ok {
-		return caller, service, nil, &DecodeError{ReasonMalformed, errAddresses}
+	if err := DecodeFrame(rest, &p.Frame); err != nil {
+		return err
 	}
-	return unmapped(src), unmapped(dst), b[len(b)-rd.Len()-buf.Buffered():], nil
-}
-
-func unmapped(a *net.UDPAddr) netip.AddrPort {
-	ap := a.AddrPort()
-	return netip.AddrPortFrom(ap.Addr().Unmap(), ap.Port())
+	p.Caller, p.Service = caller, service
+	return nil
 }
--- a/pkg/wire/frame.go
+++ b/pkg/wire/frame.go
@@ -4,6 +4,7 @@
 package wire
 
 import (
+	"errors"
 	"time"
 
 	"ebonypaddle/pkg/conf"
@@ -73,6 +74,20 @@
 // RequestID identifies a request of a caller. The caller draws it at random.
 type RequestID [16]byte
 
+// UnmarshalCBOR takes a byte string of exactly 16 bytes. The codec would cut a
+// longer one and pad a shorter one, and different requests would share an
+// identifier.
+func (id *RequestID) UnmarshalCBOR(b []byte) error {
+	const head = 0x40 | byte(len(id)) // byte string of 16 bytes
+	if len(b) != 1+len(id) || b[0] != head {
+		return errRequestID
+	}
+	copy(id[:], b[1:])
+	return nil
+}
+
+var errRequestID = errors.New("request identifier is not a byte string of 16 bytes")
+
 // Load is a server's own report of its load. It can lag or mislead.
 type Load struct {
 	_ struct{} `cbor:",toarray"`
--- a/pkg/wire/peer.go
+++ b/pkg/wire/peer.go
@@ -96,11 +96,12 @@
 	return PeerKind(b[0]), body, nil
 }
 
-// DecodePeer decodes the body of a control message.
+// DecodePeer decodes the body of a control message. A refused body yields the
+// zero value, never a part of the message.
 func DecodePeer[T any](body []byte) (T, error) {
-	var v T
+	var v, zero T
 	if err := peerDec.Unmarshal(body, &v); err != nil {
-		return v, fmt.Errorf("decode control message: %w", err)
+		return zero, fmt.Errorf("decode control message: %w", err)
 	}
 	return v, nil
 }
