wire: remove the reason tokenExpired

Cause: nothing uses it; tokens of flows have no expiry, and a token under a removed key is counted as badToken. Change: the reason and its name are removed. The numbers of later reasons move down by one, so that all parties have to be built from the same version. Ruled out: counting it in package flow, which has no expiry to check.

--- a/pkg/wire/reason.go
+++ b/pkg/wire/reason.go
@@ -12,7 +12,6 @@
 	ReasonUnknownService
 	ReasonNoSettings
 	ReasonBadToken
-	ReasonTokenExpired
 	ReasonWrongService
 	ReasonTicketNeeded
 	ReasonBadTicket
@@ -52,7 +51,6 @@
 	ReasonUnknownService: "unknownService",
 	ReasonNoSettings:     "noSettings",
 	ReasonBadToken:       "badToken",
-	ReasonTokenExpired:   "tokenExpired",
 	ReasonWrongService:   "wrongService",
 	ReasonTicketNeeded:   "ticketNeeded",
 	ReasonBadTicket:      "badTicket",
