calls: benchmark the memory of stored outcomes

Change: BenchmarkStored fills the table once at three sizes, reads the heap before and after, and then measures a repeat that gets the stored answer. Its bound on the bytes beside the answer is half of the 256 MB of section 1 of the design for 100,000 tickets, 1,280 bytes. Ruled out: allocated bytes per operation, which counts what is freed again.

--- a/pkg/calls/bench_test.go
+++ b/pkg/calls/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -36,6 +37,59 @@
 	}
 }
 
+// BenchmarkStored fills the table with outcomes once for each size, reads the
+// heap, and measures a repeat that gets the stored answer.
+func BenchmarkStored(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r := newRig(b)
+			r.tb[0].MaxTickets, r.tb[0].MaxBytes = n, 1<<30
+			before := heap()
+			var p wire.Packet
+			for i := range n {
+				p = packet(0, wire.FlagOnce)
+				p.Frame.ID = wire.RequestID{1, byte(i), byte(i >> 8), byte(i >> 16)}
+				p.Frame.Body = make([]byte, wire.MaxBody)
+				r.request(0, p)
+				p.Frame.Token = r.out.Sends[0].Packet.Frame.Token
+				r.out.Reset()
+				r.request(0, p)
+				r.reply(&r.out.Sends[0], 0, 1, func(f *wire.Frame) { f.Body = make([]byte, storedBody) })
+				r.out.Reset()
+			}
+			per := float64(heap()-before) / float64(n)
+			assert.Equal(b, r.tb[0].Size(), calls.Size{Tickets: n, Bytes: r.tb[0].Size().Bytes, Attempts: n, Timers: n})
+			b.ReportAllocs()
+			for b.Loop() {
+				r.tb[0].HandleRequest(r.now, service, &p, &r.out)
+				if r.out.Sends[0].Packet.Frame.Outcome != wire.OutcomeDone {
+					b.Fatal("no stored answer")
+				}
+				r.out.Reset()
+			}
+			b.ReportMetric(per, "heap-B/outcome")
+			b.ReportMetric(per-storedBody, "overhead-B/outcome")
+			assert.Assert(b, per-storedBody < maxOverhead, "%.0f bytes beside the answer", per-storedBody)
+		})
+	}
+}
+
+// storedBody is the size in bytes of the answers that BenchmarkStored keeps.
+// maxOverhead is what an outcome may take beside its answer, in bytes: 100,000
+// tickets in half of the 256 MB that section 1 of docs/design.md allows.
+const (
+	storedBody  = 256
+	maxOverhead = 128_000_000 / 100_000
+)
+
+// heap returns the bytes in use after a collection.
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
 // TestOverloadSends bounds the sends to servers at twice the capacity: servers
 // shed every second request, and retries come out of the 10% budget of
 // section 4.6 of docs/design.md.
