caller: check the bounds of a load run and retry refused flows

Cause: a negative size of answers or an interval of 0 made the load tool panic, and a flow that a server in cold start refused was never opened. Change: Load.Check names the first field out of its bounds. Opening a flow is tried OpenTries times with a pause; open flows get keepalives meanwhile. The report counts the retries, the runs of once-only requests, and lists requests with unknown outcome with their times. Ruled out: clamping values silently, which hides a wrong command line. Conclusion: a refusal during cold start costs the run no flow.

--- a/emul/caller/caller.go
+++ b/emul/caller/caller.go
@@ -116,6 +116,7 @@
 	c.mu.Lock()
 	delete(c.waiting, r.id)
 	c.mu.Unlock()
+	res.Sent = start
 	res.Latency = c.Clock().Sub(start)
 	return *res
 }
--- a/emul/caller/load.go
+++ b/emul/caller/load.go
@@ -22,6 +22,11 @@
 	// and Stall the silence after which a flow counts as broken.
 	Flows            int
 	Keepalive, Stall time.Duration
+	// OpenTries bounds the tries to open one flow, OpenPause is the wait
+	// between two. Servers in cold start take few new flows a second, so some
+	// are refused at first.
+	OpenTries int
+	OpenPause time.Duration
 	// Rate is the number of requests a second, OnceRatio the part of them that
 	// may run once, AnswerSize the largest answer asked for in bytes.
 	Rate       float64
@@ -43,6 +48,9 @@
 
 // Run carries out the run and checks the servers' records.
 func (l *Load) Run(ctx context.Context) (*Report, error) {
+	if err := l.Check(); err != nil {
+		return nil, err
+	}
 	l.rep = NewReport()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -85,18 +93,22 @@
 }
 
 // runFlows opens the flows of a caller and keeps them alive until timed ends.
+// Flows that are open get keepalives while others still try to open, because
+// they would count as stalled otherwise.
 func (l *Load) runFlows(ctx, timed context.Context, c *Caller) {
 	var wg sync.WaitGroup
+	defer wg.Wait()
 	for range l.Flows {
 		wg.Go(func() {
-			if _, err := c.Open(ctx, l.Timeout); err != nil {
-				l.mu.Lock()
-				defer l.mu.Unlock()
+			tries, err := l.open(ctx, timed, c)
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.rep.OpenRetries += uint64(tries - 1)
+			if err != nil {
 				l.rep.NotOpened++
 			}
 		})
 	}
-	wg.Wait()
 	t := time.NewTicker(l.Keepalive)
 	defer t.Stop()
 	for timed.Err() == nil {
@@ -108,6 +120,21 @@
 	}
 }
 
+// open opens one flow and returns how often it tried. It gives up early when
+// timed ends.
+func (l *Load) open(ctx, timed context.Context, c *Caller) (int, error) {
+	for try := 1; ; try++ {
+		_, err := c.Open(ctx, l.Timeout)
+		if err == nil || try >= l.OpenTries {
+			return try, err
+		}
+		l.sleep(timed, l.OpenPause)
+		if timed.Err() != nil {
+			return try, err
+		}
+	}
+}
+
 // runRequests sends requests at the rate until timed ends, and waits for all
 // of them.
 func (l *Load) runRequests(ctx, timed context.Context) {
--- a/emul/caller/load_test.go
+++ b/emul/caller/load_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -29,6 +31,7 @@
 	server netip.AddrPort
 	via    netip.AddrPort
 	once   bool
+	refuse int // open frames to refuse
 	seen   map[wire.RequestID]bool
 }
 
@@ -59,6 +62,12 @@
 		r.send(r.via, p)
 		return
 	}
+	if f.Kind == wire.KindOpen && r.refuse > 0 {
+		r.refuse--
+		p.Frame = wire.Frame{Kind: wire.KindRefusal, Flow: f.Flow, Reason: wire.ReasonColdLimit}
+		r.send(r.via, p)
+		return
+	}
 	f.Service, f.Server = 1, 2
 	repeat := 1
 	if f.Kind == wire.KindRequest && f.Has(wire.FlagOnce) {
@@ -82,7 +91,7 @@
 }
 
 // runLoad runs callers, fabric, relay and one server in this process.
-func runLoad(t *testing.T, once bool) *caller.Report {
+func runLoad(t *testing.T, once bool, refuse int) *caller.Report {
 	t.Helper()
 	local := netip.MustParseAddrPort("127.0.0.1:0")
 	pool := &server.Pool{Clock: time.Now, Hosts: []*server.Host{{
@@ -101,7 +110,7 @@
 	}
 	assert.NilError(t, fab.Listen())
 	fab.SetFault(fabric.Fault{Duplicate: 0.2, Reorder: 0.2})
-	r := &relay{conn: conn, server: pool.Hosts[0].Addr, via: fab.Inside, once: once, seen: map[wire.RequestID]bool{}}
+	r := &relay{conn: conn, server: pool.Hosts[0].Addr, via: fab.Inside, once: once, refuse: refuse, seen: map[wire.RequestID]bool{}}
 	h := httptest.NewServer(pool.Handler())
 	defer h.Close()
 	ctx, cancel := context.WithCancel(t.Context())
@@ -115,7 +124,7 @@
 	l := &caller.Load{
 		Callers: []*caller.Caller{{Clock: time.Now, Rand: rand.New(rand.NewPCG(15, 16)), Service: fab.Services[0], Resend: 100 * time.Millisecond}},
 		Rand:    rand.New(rand.NewPCG(17, 18)), HTTP: http.DefaultClient, Records: []string{h.URL + "/records"},
-		Flows: 5, Keepalive: 20 * time.Millisecond, Stall: 10 * time.Second, Rate: 200, OnceRatio: 0.5, AnswerSize: 8000,
+		Flows: 5, OpenTries: 20, OpenPause: 5 * time.Millisecond, Keepalive: 20 * time.Millisecond, Stall: 10 * time.Second, Rate: 200, OnceRatio: 0.5, AnswerSize: 8000,
 		Timeout: 10 * time.Second, Duration: 300 * time.Millisecond, MaxInFlight: 200, Settle: 50 * time.Millisecond,
 	}
 	rep, err := l.Run(ctx)
@@ -126,7 +135,7 @@
 // Guards against a load tool that loses answers or flows on a fabric that
 // repeats and reorders packets.
 func TestLoad(t *testing.T) {
-	rep := runLoad(t, true)
+	rep := runLoad(t, true, 0)
 	assert.Equal(t, rep.Failed, 0, "%v", rep.Failures)
 	assert.Assert(t, rep.Outcomes["done"] > 0)
 	assert.Equal(t, len(rep.Reasons), 0, "%v", rep.Reasons)
@@ -142,5 +151,48 @@
 
 // Guards against a load tool that does not see requests run twice.
 func TestLoadFindsSecondRun(t *testing.T) {
-	assert.Assert(t, runLoad(t, false).Failed > 0)
+	assert.Assert(t, runLoad(t, false, 0).Failed > 0)
+}
+
+// Guards against flows that are given up after one refusal, as servers in cold
+// start refuse more than they can bear.
+func TestLoadOpensAgain(t *testing.T) {
+	rep := runLoad(t, true, 7)
+	assert.Equal(t, rep.Flows, uint64(5))
+	assert.Equal(t, rep.NotOpened, uint64(0))
+	assert.Assert(t, rep.OpenRetries > 0)
+}
+
+// Guards against a run that panics on, or silently changes, a value that is
+// out of its bounds.
+func TestLoadBounds(t *testing.T) {
+	good := func() *caller.Load {
+		return &caller.Load{
+			Callers: []*caller.Caller{{Resend: time.Second}}, OpenTries: 1, Keepalive: time.Second, Stall: time.Second,
+			Timeout: time.Second, Duration: time.Second, MaxInFlight: 1,
+		}
+	}
+	assert.NilError(t, good().Check())
+	for field, spoil := range map[string]func(*caller.Load){
+		"callers":    func(l *caller.Load) { l.Callers = nil },
+		"flows":      func(l *caller.Load) { l.Flows = -1 },
+		"open tries": func(l *caller.Load) { l.OpenTries = 0 },
+		"open pause": func(l *caller.Load) { l.OpenPause = -1 },
+		"keepalive":  func(l *caller.Load) { l.Keepalive = 0 },
+		"stall":      func(l *caller.Load) { l.Stall = 0 },
+		"rate":       func(l *caller.Load) { l.Rate = math.NaN() },
+		"once":       func(l *caller.Load) { l.OnceRatio = 1.5 },
+		"answer":     func(l *caller.Load) { l.AnswerSize = -1 },
+		"timeout":    func(l *caller.Load) { l.Timeout = 0 },
+		"duration":   func(l *caller.Load) { l.Duration = 0 },
+		"settle":     func(l *caller.Load) { l.Settle = -1 },
+		"in-flight":  func(l *caller.Load) { l.MaxInFlight = 0 },
+		"resend":     func(l *caller.Load) { l.Callers[0].Resend = 0 },
+	} {
+		l := good()
+		spoil(l)
+		var out *caller.BoundError
+		assert.Assert(t, errors.As(l.Check(), &out), field)
+		assert.Equal(t, out.Field, field)
+	}
 }
--- a/emul/caller/report.go
+++ b/emul/caller/report.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
@@ -21,6 +22,9 @@
 // maxFailures bounds the failures that a report names; all are counted.
 const maxFailures = 20
 
+// maxUnknown bounds the requests with unknown outcome that a report lists.
+const maxUnknown = 1000
+
 // Report is the outcome of a load run.
 type Report struct {
 	// Outcomes counts requests by outcome, Reasons those that were not done.
@@ -34,12 +38,19 @@
 	P99 int64 `json:"p99us"`
 	Max int64 `json:"maxUs"`
 
-	Flows      uint64            `json:"flows"`
-	NotOpened  uint64            `json:"notOpened"`
-	Broken     map[string]uint64 `json:"broken,omitempty"`
-	Keepalives uint64            `json:"keepalives"`
-	Echoed     uint64            `json:"echoed"`
-	Gaps       uint64            `json:"gaps"`
+	Flows     uint64 `json:"flows"`
+	NotOpened uint64 `json:"notOpened"`
+	// OpenRetries counts repeated tries to open a flow.
+	OpenRetries uint64            `json:"openRetries"`
+	Broken      map[string]uint64 `json:"broken,omitempty"`
+	Keepalives  uint64            `json:"keepalives"`
+	Echoed      uint64            `json:"echoed"`
+	Gaps        uint64            `json:"gaps"`
+
+	// OnceRuns counts requests that may run once by how often they ran.
+	OnceRuns map[int]uint64 `json:"onceRuns,omitempty"`
+	// Unknown lists the first requests whose outcome is unknown.
+	Unknown []Unknown `json:"unknown,omitempty"`
 
 	Misrouted uint64   `json:"misrouted"`
 	Failed    int      `json:"failed"`
@@ -49,11 +60,21 @@
 	hist    *hdrhistogram.Histogram
 }
 
+// Unknown is a request whose outcome is unknown. The times tell which events
+// of a run it overlapped.
+type Unknown struct {
+	Sent   time.Time `json:"sent"`
+	Ended  time.Time `json:"ended"`
+	Reason string    `json:"reason"`
+	Once   bool      `json:"once,omitempty"`
+}
+
 // NewReport returns an empty report.
 func NewReport() *Report {
 	return &Report{
 		Outcomes: map[string]uint64{}, Reasons: map[string]uint64{}, Broken: map[string]uint64{},
-		hist: hdrhistogram.New(1, maxLatency, digits),
+		OnceRuns: map[int]uint64{},
+		hist:     hdrhistogram.New(1, maxLatency, digits),
 	}
 }
 
@@ -61,6 +82,9 @@
 func (r *Report) Add(res Result) {
 	r.results = append(r.results, res)
 	r.Outcomes[res.Outcome.String()]++
+	if res.Outcome == wire.OutcomeUnknown && len(r.Unknown) < maxUnknown {
+		r.Unknown = append(r.Unknown, Unknown{res.Sent, res.Sent.Add(res.Latency), res.Reason.String(), res.Once})
+	}
 	if res.Outcome != wire.OutcomeDone {
 		r.Reasons[res.Reason.String()]++
 		return
@@ -108,6 +132,9 @@
 }
 
 func (r *Report) checkRuns(res *Result, id string, runs int) {
+	if res.Once {
+		r.OnceRuns[runs]++
+	}
 	switch {
 	case res.Once && runs > 1:
 		r.fail("request %s may run once and ran %d times", id, runs)
--- a/emul/caller/request.go
+++ b/emul/caller/request.go
@@ -20,6 +20,7 @@
 	Reason  wire.Reason
 	// Whole tells that the answer is the one asked for.
 	Whole   bool
+	Sent    time.Time // of the first frame
 	Latency time.Duration
 }
 
--- a/emul/cmd/ebonyemu/load.go
+++ b/emul/cmd/ebonyemu/load.go
@@ -24,6 +24,8 @@
 			&cli.StringSliceFlag{Name: "records", Usage: "URL of servers' /records"},
 			&cli.IntFlag{Name: "callers", Usage: "sockets", Value: 1},
 			&cli.IntFlag{Name: "flows", Usage: "flows of each caller", Value: 10},
+			&cli.IntFlag{Name: "open-tries", Usage: "most tries to open a flow", Value: 5},
+			&cli.DurationFlag{Name: "open-pause", Usage: "wait between two of them", Value: time.Second},
 			&cli.DurationFlag{Name: "keepalive", Value: 500 * time.Millisecond},
 			&cli.DurationFlag{Name: "stall", Usage: "silence after which a flow is broken", Value: 5 * time.Second},
 			&cli.FloatFlag{Name: "rate", Usage: "requests a second", Value: 10},
@@ -50,9 +52,9 @@
 		Flows: cmd.Int("flows"), Keepalive: cmd.Duration("keepalive"), Stall: cmd.Duration("stall"),
 		Rate: cmd.Float("rate"), OnceRatio: cmd.Float("once"), AnswerSize: cmd.Int("answer"),
 		Timeout: cmd.Duration("timeout"), Duration: cmd.Duration("duration"), Settle: cmd.Duration("settle"),
-		MaxInFlight: cmd.Int("in-flight"),
+		MaxInFlight: cmd.Int("in-flight"), OpenTries: cmd.Int("open-tries"), OpenPause: cmd.Duration("open-pause"),
 	}
-	for i := range max(cmd.Int("callers"), 1) {
+	for i := range cmd.Int("callers") {
 		l.Callers = append(l.Callers, &caller.Caller{
 			Clock: time.Now, Rand: newRand(cmd, uint64(i)+1), Service: service, Resend: cmd.Duration("resend"),
 		})
