ebonyemu: adapt settings for a local run

Cause: a local run needs other addresses and shorter times than the samples, and rewriting JSON in the shell needs more than coreutils. Ruled out: changing the samples, which show real sizes and times. Conclusion: scripts need only bash, coreutils and the programs.

--- a/emul/cmd/ebonyemu/plan.go
+++ b/emul/cmd/ebonyemu/plan.go
@@ -25,7 +25,9 @@
 		Usage: "print inputs for a local run of a settings file",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Required: true},
-			&cli.StringFlag{Name: "print", Usage: "objects, servers, entries, services or process", Required: true},
+			&cli.StringFlag{Name: "print", Usage: "settings, objects, servers, entries, services or process", Required: true},
+			&cli.StringSliceFlag{Name: "set", Usage: "PATH:FIELD=VALUE to set before anything is printed; may be repeated"},
+			&cli.IntFlag{Name: "network", Usage: "first number that replaces that of all IPv4 addresses, such as 127", Value: -1},
 			&cli.StringFlag{Name: "entry", Usage: "entry place, for process"},
 			&cli.StringFlag{Name: "object-api", Value: "127.0.0.1:7400"},
 			&cli.DurationFlag{Name: "mean", Usage: "service time of the fastest server", Value: 4 * time.Millisecond},
@@ -43,8 +45,13 @@
 	if len(problems) > 0 {
 		return problems
 	}
+	if err := adapt(snap, cmd.StringSlice("set"), cmd.Int("network")); err != nil {
+		return err
+	}
 	var out any
 	switch cmd.String("print") {
+	case "settings":
+		out = snap
 	case "objects":
 		out, err = seedObjects(snap)
 	case "servers":
@@ -64,7 +71,7 @@
 		}
 		return nil
 	default:
-		err = fmt.Errorf("print: %q is none of objects, servers, entries, services, process", cmd.String("print"))
+		err = fmt.Errorf("print: %q is none of settings, objects, servers, entries, services, process", cmd.String("print"))
 	}
 	if err != nil {
 		return err
