--- a/pkg/core/control.go
+++ b/pkg/core/control.go
@@ -87,7 +87,7 @@
 		c.ctl.spread.Changed(old, &c.out)
 	}
 	c.Fresh.Confirm(now, asked, snap.Rev)
-	return c.out.Sends, moved, err
+	return c.sends(now), moved, err
 }
 
 // OfferDelta takes a delta pulled from a peer over TCP.
@@ -99,7 +99,7 @@
 	}
 	err := c.applyCurrent(now)
 	c.ctl.spread.Changed(old, &c.out)
-	return c.out.Sends, err
+	return c.sends(now), err
 }
 
 // ConfirmSettings takes the platform's word that its settings are at rev.
@@ -115,8 +115,8 @@
 
 // IsReader reports whether this instance watches the platform for its failure
 // domain.
-func (c *Core) IsReader() bool {
-	return dist.IsReader(c.Entry.Peer, c.Domain, c.Members.Alive(c.Domain))
+func (c *Core) IsReader(now time.Time) bool {
+	return dist.IsReader(c.Entry.Peer, c.Domain, c.Members.Candidates(now, c.Domain))
 }
 
 // Bulk returns once the peer from which settings are to be pulled over TCP.
@@ -159,7 +159,7 @@
 	if err != nil {
 		c.Stats.Dropped.Add(wire.ReasonMalformed)
 	}
-	return c.out.Sends
+	return c.sends(now)
 }
 
 // handle decodes a body and passes it on.
@@ -191,7 +191,7 @@
 		c.release(now, c.Router.Tick(now))
 		c.Router.Flush(&c.out)
 	}
-	return c.out.Sends
+	return c.sends(now)
 }
 
 // viewMembers renews what other tables know of the live instances.
