core: drop frames of servers that the settings do not name

Cause: an instance that restarted at its place got the feed of a backend server before its first settings, took the packet for a caller's, and kept the server's address as the way back to callers of that service. Until the fabric sent the next packet of the service, answers went to that server, which refused them, and the instance passed the refusal back to the server. Change: a frame that names a server or a boot identifier is dropped as unconfirmed unless it comes from an address of the settings. Ruled out: the probes of the former process; their answers carry another service address and are not passed on. Conclusion: only the fabric's address is kept as the way back.

--- a/pkg/core/core.go
+++ b/pkg/core/core.go
@@ -119,12 +119,19 @@
 }
 
 // Handle takes a packet from the data socket. Packets from the address of a
-// backend server are that server's; all others come through the fabric. The
-// result is valid until the next call.
+// backend server are that server's; all others come through the fabric. A
+// server's packet from an address that the settings do not name, as before the
+// first settings after a restart, is dropped: taken for a caller's, it would
+// make the server's address the way back to callers. The result is valid until
+// the next call.
 func (c *Core) Handle(now time.Time, from netip.AddrPort, p *wire.Packet) []wire.Send {
 	if c.byAddr[from] {
 		return c.HandleServer(now, from, p)
 	}
+	if p.Frame.Server != 0 || p.Frame.Boot != 0 {
+		c.Stats.Dropped.Add(wire.ReasonUnconfirmed)
+		return nil
+	}
 	return c.HandleCaller(now, p)
 }
 
