caller: close flows after a time, and tell closed from broken ones

Cause: close frames and keepalives of one flow take different paths. When the close frame came first, the server answered the keepalive with unknownFlow, and the flow counted as broken. Flows also lived until the end of a run, so a leaving server was never empty. Change: a flow that its caller closed cannot break any more. FlowLife closes flows after a time and opens others. The report lists when flows broke. Ruled out: waiting between the last keepalive and the close frame, which only makes the race rarer. Conclusion: unknownFlow in a report means that a server lost a flow.

--- a/emul/caller/caller.go
+++ b/emul/caller/caller.go
@@ -201,7 +201,7 @@
 	now := c.Clock()
 	for _, fl := range c.flows {
 		fl.check(now, stall)
-		if fl.Open && fl.Broken == "" {
+		if fl.live() {
 			f := fl.frame(0)
 			c.send(&f)
 		}
@@ -213,8 +213,20 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, fl := range c.flows {
-		if fl.Open && fl.Broken == "" {
-			c.send(&wire.Frame{Kind: wire.KindClose, Flow: fl.ID, Token: fl.Token})
-		}
+		c.close(fl)
+	}
+}
+
+// CloseFlow ends one flow.
+func (c *Caller) CloseFlow(fl *Flow) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.close(fl)
+}
+
+func (c *Caller) close(fl *Flow) {
+	if fl.live() {
+		fl.closing = true
+		c.send(&wire.Frame{Kind: wire.KindClose, Flow: fl.ID, Token: fl.Token})
 	}
 }
--- a/emul/caller/caller_test.go
+++ b/emul/caller/caller_test.go
@@ -200,3 +200,16 @@
 		})
 	}
 }
+
+// Guards against a flow that counts as broken because the close frame of its
+// caller overtook its last keepalive.
+func TestClosedByCaller(t *testing.T) {
+	for _, closing := range []bool{false, true} {
+		fl := &Flow{ID: 1}
+		fl.receive(now, &wire.Frame{Kind: wire.KindOpened, Token: []byte("t")})
+		fl.closing = closing
+		fl.receive(now, &wire.Frame{Kind: wire.KindClosed, Reason: wire.ReasonUnknownFlow})
+		fl.check(now.Add(time.Hour), time.Second)
+		assert.Equal(t, fl.Broken != "", !closing)
+	}
+}
--- a/emul/caller/check.go
+++ b/emul/caller/check.go
@@ -39,6 +39,7 @@
 		{"flows", l.Flows, l.Flows >= 0 && l.Flows <= maxFlows, fmt.Sprintf("between 0 and %d", maxFlows)},
 		{"open tries", l.OpenTries, l.OpenTries >= 1, "at least 1"},
 		{"open pause", l.OpenPause, l.OpenPause >= 0, "at least 0"},
+		{"flow life", l.FlowLife, l.FlowLife >= 0, "at least 0"},
 		{"keepalive", l.Keepalive, l.Keepalive > 0, "above 0"},
 		{"stall", l.Stall, l.Stall > 0, "above 0"},
 		{"rate", l.Rate, l.Rate >= 0 && l.Rate <= maxRate, fmt.Sprintf("between 0 and %d", maxRate)},
--- a/emul/caller/flow.go
+++ b/emul/caller/flow.go
@@ -26,8 +26,13 @@
 	lastPush  uint64
 	latePush  map[uint64]bool // skipped numbers that may still come
 	lastHeard time.Time
+	brokenAt  time.Time
+	closing   bool // the caller closed it
 }
 
+// live tells whether the flow is open at both ends.
+func (fl *Flow) live() bool { return fl.Open && fl.Broken == "" && !fl.closing }
+
 // frame returns the open frame, or the next keepalive of an open flow.
 func (fl *Flow) frame(timeout time.Duration) wire.Frame {
 	if !fl.Open {
@@ -53,7 +58,10 @@
 	case wire.KindOpened:
 		fl.Open, fl.lastHeard = true, now
 	case wire.KindClosed:
-		fl.Broken = f.Reason.String()
+		if fl.closing {
+			return // The close frame overtook a keepalive on another path.
+		}
+		fl.Broken, fl.brokenAt = f.Reason.String(), now
 	case wire.KindRefusal:
 		if !fl.Open {
 			fl.Broken = f.Reason.String()
@@ -89,7 +97,7 @@
 
 // check marks the flow as stalled when nothing was heard for the stall time.
 func (fl *Flow) check(now time.Time, stall time.Duration) {
-	if fl.Open && fl.Broken == "" && now.Sub(fl.lastHeard) > stall {
-		fl.Broken = CauseStalled
+	if fl.live() && now.Sub(fl.lastHeard) > stall {
+		fl.Broken, fl.brokenAt = CauseStalled, now
 	}
 }
--- a/emul/caller/load.go
+++ b/emul/caller/load.go
@@ -27,6 +27,9 @@
 	// are refused at first.
 	OpenTries int
 	OpenPause time.Duration
+	// FlowLife is the time after which a caller closes a flow and opens
+	// another; with 0 flows live until the end.
+	FlowLife time.Duration
 	// Rate is the number of requests a second, OnceRatio the part of them that
 	// may run once, AnswerSize the largest answer asked for in bytes.
 	Rate       float64
@@ -98,16 +101,8 @@
 func (l *Load) runFlows(ctx, timed context.Context, c *Caller) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	for range l.Flows {
-		wg.Go(func() {
-			tries, err := l.open(ctx, timed, c)
-			l.mu.Lock()
-			defer l.mu.Unlock()
-			l.rep.OpenRetries += uint64(tries - 1)
-			if err != nil {
-				l.rep.NotOpened++
-			}
-		})
+	for i := range l.Flows {
+		wg.Go(func() { l.runFlow(ctx, timed, c, i) })
 	}
 	t := time.NewTicker(l.Keepalive)
 	defer t.Stop()
@@ -120,17 +115,41 @@
 	}
 }
 
+// runFlow keeps one flow open. With FlowLife it closes the flow after that time
+// and opens another; the first lives shorter by its number, so that the ends
+// spread over time.
+func (l *Load) runFlow(ctx, timed context.Context, c *Caller, number int) {
+	life := l.FlowLife * time.Duration(number+1) / time.Duration(l.Flows)
+	for first := true; first || timed.Err() == nil; first = false {
+		fl, tries, err := l.open(ctx, timed, c)
+		l.mu.Lock()
+		l.rep.OpenRetries += uint64(tries - 1)
+		if err != nil && (first || timed.Err() == nil) {
+			l.rep.NotOpened++
+		}
+		l.mu.Unlock()
+		if err != nil || l.FlowLife <= 0 {
+			return
+		}
+		l.sleep(timed, life)
+		life = l.FlowLife
+		if timed.Err() == nil {
+			c.CloseFlow(fl)
+		}
+	}
+}
+
 // open opens one flow and returns how often it tried. It gives up early when
 // timed ends.
-func (l *Load) open(ctx, timed context.Context, c *Caller) (int, error) {
+func (l *Load) open(ctx, timed context.Context, c *Caller) (*Flow, int, error) {
 	for try := 1; ; try++ {
-		_, err := c.Open(ctx, l.Timeout)
+		fl, err := c.Open(ctx, l.Timeout)
 		if err == nil || try >= l.OpenTries {
-			return try, err
+			return fl, try, err
 		}
 		l.sleep(timed, l.OpenPause)
 		if timed.Err() != nil {
-			return try, err
+			return nil, try, err
 		}
 	}
 }
--- a/emul/caller/load_test.go
+++ b/emul/caller/load_test.go
@@ -91,7 +91,7 @@
 }
 
 // runLoad runs callers, fabric, relay and one server in this process.
-func runLoad(t *testing.T, once bool, refuse int) *caller.Report {
+func runLoad(t *testing.T, once bool, refuse int, change ...func(*caller.Load)) *caller.Report {
 	t.Helper()
 	local := netip.MustParseAddrPort("127.0.0.1:0")
 	pool := &server.Pool{Clock: time.Now, Hosts: []*server.Host{{
@@ -127,6 +127,9 @@
 		Flows: 5, OpenTries: 20, OpenPause: 5 * time.Millisecond, Keepalive: 20 * time.Millisecond, Stall: 10 * time.Second, Rate: 200, OnceRatio: 0.5, AnswerSize: 8000,
 		Timeout: 10 * time.Second, Duration: 300 * time.Millisecond, MaxInFlight: 200, Settle: 50 * time.Millisecond,
 	}
+	for _, f := range change {
+		f(l)
+	}
 	rep, err := l.Run(ctx)
 	assert.NilError(t, err)
 	return rep
@@ -163,6 +166,15 @@
 	assert.Assert(t, rep.OpenRetries > 0)
 }
 
+// Guards against flows that live until the end although their callers close
+// them, which would keep leaving servers from ever being empty.
+func TestLoadClosesFlows(t *testing.T) {
+	rep := runLoad(t, true, 0, func(l *caller.Load) { l.FlowLife = 40 * time.Millisecond })
+	assert.Assert(t, rep.Flows > 5)
+	assert.Equal(t, rep.NotOpened, uint64(0))
+	assert.Equal(t, len(rep.Broken), 0, "%v", rep.Broken)
+}
+
 // Guards against a run that panics on, or silently changes, a value that is
 // out of its bounds.
 func TestLoadBounds(t *testing.T) {
@@ -178,6 +190,7 @@
 		"flows":      func(l *caller.Load) { l.Flows = -1 },
 		"open tries": func(l *caller.Load) { l.OpenTries = 0 },
 		"open pause": func(l *caller.Load) { l.OpenPause = -1 },
+		"flow life":  func(l *caller.Load) { l.FlowLife = -1 },
 		"keepalive":  func(l *caller.Load) { l.Keepalive = 0 },
 		"stall":      func(l *caller.Load) { l.Stall = 0 },
 		"rate":       func(l *caller.Load) { l.Rate = math.NaN() },
--- a/emul/caller/report.go
+++ b/emul/caller/report.go
@@ -22,7 +22,8 @@
 // maxFailures bounds the failures that a report names; all are counted.
 const maxFailures = 20
 
-// maxUnknown bounds the requests with unknown outcome that a report lists.
+// maxUnknown bounds the requests with unknown outcome and the broken flows that
+// a report lists.
 const maxUnknown = 1000
 
 // Report is the outcome of a load run.
@@ -43,9 +44,11 @@
 	// OpenRetries counts repeated tries to open a flow.
 	OpenRetries uint64            `json:"openRetries"`
 	Broken      map[string]uint64 `json:"broken,omitempty"`
-	Keepalives  uint64            `json:"keepalives"`
-	Echoed      uint64            `json:"echoed"`
-	Gaps        uint64            `json:"gaps"`
+	// BrokenFlows lists the first broken flows.
+	BrokenFlows []BrokenFlow `json:"brokenFlows,omitempty"`
+	Keepalives  uint64       `json:"keepalives"`
+	Echoed      uint64       `json:"echoed"`
+	Gaps        uint64       `json:"gaps"`
 
 	// OnceRuns counts requests that may run once by how often they ran.
 	OnceRuns map[int]uint64 `json:"onceRuns,omitempty"`
@@ -69,6 +72,12 @@
 	Once   bool      `json:"once,omitempty"`
 }
 
+// BrokenFlow tells when and why a flow broke.
+type BrokenFlow struct {
+	At    time.Time `json:"at"`
+	Cause string    `json:"cause"`
+}
+
 // NewReport returns an empty report.
 func NewReport() *Report {
 	return &Report{
@@ -101,6 +110,9 @@
 	r.Gaps += fl.Gaps
 	if fl.Broken != "" {
 		r.Broken[fl.Broken]++
+		if len(r.BrokenFlows) < maxUnknown {
+			r.BrokenFlows = append(r.BrokenFlows, BrokenFlow{fl.brokenAt, fl.Broken})
+		}
 	}
 }
 
--- a/emul/cmd/ebonyemu/load.go
+++ b/emul/cmd/ebonyemu/load.go
@@ -26,6 +26,7 @@
 			&cli.IntFlag{Name: "flows", Usage: "flows of each caller", Value: 10},
 			&cli.IntFlag{Name: "open-tries", Usage: "most tries to open a flow", Value: 5},
 			&cli.DurationFlag{Name: "open-pause", Usage: "wait between two of them", Value: time.Second},
+			&cli.DurationFlag{Name: "flow-life", Usage: "time after which a flow is closed and another opened; 0 keeps it"},
 			&cli.DurationFlag{Name: "keepalive", Value: 500 * time.Millisecond},
 			&cli.DurationFlag{Name: "stall", Usage: "silence after which a flow is broken", Value: 5 * time.Second},
 			&cli.FloatFlag{Name: "rate", Usage: "requests a second", Value: 10},
@@ -52,7 +53,7 @@
 		Flows: cmd.Int("flows"), Keepalive: cmd.Duration("keepalive"), Stall: cmd.Duration("stall"),
 		Rate: cmd.Float("rate"), OnceRatio: cmd.Float("once"), AnswerSize: cmd.Int("answer"),
 		Timeout: cmd.Duration("timeout"), Duration: cmd.Duration("duration"), Settle: cmd.Duration("settle"),
-		MaxInFlight: cmd.Int("in-flight"), OpenTries: cmd.Int("open-tries"), OpenPause: cmd.Duration("open-pause"),
+		MaxInFlight: cmd.Int("in-flight"), FlowLife: cmd.Duration("flow-life"), OpenTries: cmd.Int("open-tries"), OpenPause: cmd.Duration("open-pause"),
 	}
 	for i := range cmd.Int("callers") {
 		l.Callers = append(l.Callers, &caller.Caller{
