server: let the stand-in survive and report a silent fall

Cause: a server that falls into cold start silently shows it only by what it sheds, but the stand-in fell over at the first request beyond its limit. Change: the command "cold" takes a margin of requests that the server sheds in a row; it ends with the next start. The margin of other servers stays 0. ColdExcess counts every request beyond the limit, so that a checker can demand none on servers that did not fall silently. The command "move" restarts a server for another service. Ruled out: a margin for all servers, which would hide quotas that are too high after an ordinary start. Conclusion: a silent fall can be told from a quota that does not hold.

--- a/emul/server/host.go
+++ b/emul/server/host.go
@@ -48,6 +48,7 @@
 	coldUntil time.Time
 	draining  bool
 	excess    int // requests shed in a row while cold
+	margin    int // of them that it bears
 
 	running, queue []*job
 	flows          map[flowKey]*flow
@@ -70,11 +71,13 @@
 	if h.records == nil {
 		h.records = map[wire.RequestID]*Record{}
 	}
-	h.GoCold(now)
+	h.GoCold(now, h.ColdMargin)
 }
 
-// GoCold falls back into cold start without a new boot identifier.
-func (h *Host) GoCold(now time.Time) {
+// GoCold falls back into cold start without a new boot identifier. Until it
+// starts again it sheds up to margin requests in a row.
+func (h *Host) GoCold(now time.Time, margin int) {
+	h.margin = margin
 	h.coldUntil = now.Add(time.Duration(h.ColdTime))
 	h.excess = 0
 }
@@ -156,7 +159,8 @@
 	case h.draining:
 		h.refuse(now, via, p, wire.ReasonServerShed)
 	case h.cold(now) && n >= h.ColdSlots:
-		if h.excess++; h.excess > h.ColdMargin {
+		h.count.ColdExcess++
+		if h.excess++; h.excess > h.margin {
 			h.FallOver(now)
 			return
 		}
--- a/emul/server/pool.go
+++ b/emul/server/pool.go
@@ -123,12 +123,19 @@
 	return out
 }
 
-// Command acts on one server: "cold", "drain", "undrain" or "fallOver", and a
-// Lie if there is one.
+// Command acts on one server: "cold", "drain", "undrain", "fallOver" or "move",
+// and a Lie if there is one. After a silent fall into cold start, no instance
+// can know of it before the server sheds once, so Margin is the number of
+// requests that it may shed in a row without falling over. A move restarts the server for Service under
+// Generation.
 type Command struct {
 	Server conf.ServerID `json:"server"`
 	Do     string        `json:"do,omitempty"`
 	Lie    *Lie          `json:"lie,omitempty"`
+
+	Margin     int            `json:"margin,omitempty"`
+	Service    conf.ServiceID `json:"service,omitempty"`
+	Generation uint32         `json:"generation,omitempty"`
 }
 
 // Apply carries out a command.
@@ -145,11 +152,17 @@
 	switch c.Do {
 	case "":
 	case "cold":
-		h.GoCold(p.Clock())
+		h.GoCold(p.Clock(), max(c.Margin, h.ColdMargin))
 	case "drain", "undrain":
 		h.Drain(c.Do == "drain")
 	case "fallOver":
 		h.FallOver(p.Clock())
+	case "move":
+		if c.Service == 0 || c.Generation == 0 {
+			return fmt.Errorf("move of server %d: service and generation are needed", c.Server)
+		}
+		h.Service, h.Generation = c.Service, c.Generation
+		h.Start(p.Clock())
 	default:
 		return fmt.Errorf("command %q does not exist", c.Do)
 	}
--- a/emul/server/report.go
+++ b/emul/server/report.go
@@ -20,6 +20,8 @@
 	Shed        uint64 `json:"shed"`
 	Cancelled   uint64 `json:"cancelled"`
 	FellOver    uint64 `json:"fellOver"`
+	// ColdExcess counts requests beyond what the server bears while cold.
+	ColdExcess uint64 `json:"coldExcess"`
 	// PeakCold is the most requests accepted at once while cold.
 	PeakCold int `json:"peakCold"`
 }
