ebonyctl: move servers, and hand over marks only

Cause: every edit of a server record was handed to instances as a mark, ahead of its revision. An instance sets the mark on the record that it has, so a removed server that comes back for another service would have been put in service for the former one. Edits of nodes printed a warning each time, because they cannot be handed over. Change: only edits that change nothing but a mark are handed over; others spread with the settings. "server move" puts a removed server into another service under the next generation. Ruled out: moving servers with "apply", which needs a file with the new generation and time. Before: TestMove saw two changes handed over, one of them the node's. After: one, the mark. Conclusion: a move takes effect with its revision on every instance.

--- a/ebonyctl/verbs/change.go
+++ b/ebonyctl/verbs/change.go
@@ -89,9 +89,10 @@
 	if err != nil {
 		return 0, err
 	}
-	n, err := a.instances.Notify(ctx, conf.Object{
-		Kind: ed.Kind, Name: ed.Name, Rev: rev, Value: ed.Value, Deleted: ed.Value == nil,
-	})
+	if !onlyMarks(&ed) {
+		return rev, nil
+	}
+	n, err := a.instances.Notify(ctx, conf.Object{Kind: ed.Kind, Name: ed.Name, Rev: rev, Value: ed.Value})
 	if err != nil || n == 0 {
 		a.warn("revision %d is accepted, but the client handed it to no instance (%v); "+
 			"it is in force once an instance reads the object API\n", rev, err)
@@ -99,6 +100,22 @@
 	return rev, nil
 }
 
+// onlyMarks reports whether an edit changes nothing but the mark of a domain or
+// server. Only such an edit may be handed to instances ahead of its revision:
+// an instance sets the mark on the record that it has, and a server that comes
+// back for another service must not get packets of the one before.
+func onlyMarks(ed *client.Edit) bool {
+	if ed.Base == nil || ed.Value == nil || ed.Kind != conf.KindDomain && ed.Kind != conf.KindServer {
+		return false
+	}
+	for _, c := range changes(ed.Kind, ed.Name, ed.Base, ed.Value) {
+		if c.Field != "mark" && c.Field != "since" && c.Field != "edit" {
+			return false
+		}
+	}
+	return true
+}
+
 // follow waits until the revision is in force everywhere.
 func (a *App) follow(ctx context.Context, cmd *cli.Command, rev uint64) error {
 	type result struct {
--- a/ebonyctl/verbs/verbs_test.go
+++ b/ebonyctl/verbs/verbs_test.go
@@ -194,3 +194,24 @@
 	out, _ = b.run(ExitOK, "completion", "bash")
 	contains(t, out, "complete")
 }
+
+// Guards against a server that is moved during its quarantine, and against an
+// edit of more than a mark that is handed over: an instance would set the mark
+// on the record of the old service and send that service's packets.
+func TestMove(t *testing.T) {
+	b := loaded(t)
+	b.notified = nil
+	_, errs := b.run(ExitOK, "node", "set", "/utility", "slots=3")
+	assert.Equal(t, errs, "")
+	move := []string{"server", "move", "ledger-03", "/utility/archive", "yeka"}
+	b.run(ExitInvalid, move...)
+	b.run(ExitOK, "server", "remove", "ledger-03")
+	assert.Equal(t, len(b.notified), 1)
+	b.run(ExitInvalid, move...)
+	b.now = b.now.Add(conf.Quarantine)
+	b.run(ExitOK, move...)
+	assert.Equal(t, len(b.notified), 1)
+	contains(t, string(b.objs["server/ledger-03"].Value), `"generation":2`, `"service":"/utility/archive"`, `"mark":"in"`)
+	b.run(ExitNotFound, "server", "move", "nothing", "/utility/archive", "yeka")
+	b.run(ExitUsage, "server", "move", "ledger-03")
+}
--- a/ebonyctl/verbs/write.go
+++ b/ebonyctl/verbs/write.go
@@ -99,6 +99,28 @@
 	}
 }
 
+// serverMove gives a removed server to another service. Validation refuses it
+// until the quarantine of the server's address is over.
+func (a *App) serverMove(ctx context.Context, cmd *cli.Command) error {
+	name := cmd.Args().First()
+	st, err := a.load(ctx)
+	if err != nil {
+		return err
+	}
+	v, ok := st.snap.Servers[name]
+	if !ok {
+		return fmt.Errorf("server %q: %w", name, client.ErrNotFound)
+	}
+	v.Service, v.Domain = cmd.Args().Get(1), cmd.Args().Get(2)
+	v.Generation++
+	v.Mark, v.Since = conf.MarkIn, a.Now().UTC()
+	o, err := conf.Encode(conf.KindServer, name, v)
+	if err != nil {
+		return err
+	}
+	return a.commit(ctx, cmd, st, o)
+}
+
 // apply validates the whole file first, then writes one object at a time, so
 // that every state between two writes is valid.
 func (a *App) apply(ctx context.Context, cmd *cli.Command) error {
