judge: judge a run by what must always hold

Cause: nothing compared what callers, servers and instances report during a run with the requirements. Change: "ebonyemu sample" reads counters and records over HTTP, "verdict" sums them over processes, prints a report and fails when a requirement did not hold or when the run lacks what a judgement needs. "post" and "empty" spare scripts a tool for HTTP. Ruled out: judging in the shell, which has no JSON and no tests. Figures: each of 22 spoilt checks and counters fails a test. Conclusion: a verdict that passes has seen samples, flows and requests.

--- a/emul/cmd/ebonyemu/main.go
+++ b/emul/cmd/ebonyemu/main.go
@@ -29,7 +29,7 @@
 	app := &cli.Command{
 		Name:     "ebonyemu",
 		Usage:    "stand-ins for the platform of ebonypaddle, and a load tool",
-		Commands: []*cli.Command{objectCommand(), fabricCommand(), serverCommand(), callerCommand(), planCommand()},
+		Commands: []*cli.Command{objectCommand(), fabricCommand(), serverCommand(), callerCommand(), planCommand(), postCommand(), sampleCommand(), verdictCommand(), emptyCommand()},
 	}
 	return app.Run(ctx, os.Args)
 }
--- a/emul/cmd/ebonyemu/plan.go
+++ b/emul/cmd/ebonyemu/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -25,7 +26,7 @@
 		Usage: "print inputs for a local run of a settings file",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Required: true},
-			&cli.StringFlag{Name: "print", Usage: "settings, objects, servers, entries, services or process", Required: true},
+			&cli.StringFlag{Name: "print", Usage: "settings, objects, servers, entries, services, process or operator-key", Required: true},
 			&cli.StringSliceFlag{Name: "set", Usage: "PATH:FIELD=VALUE to set before anything is printed; may be repeated"},
 			&cli.IntFlag{Name: "network", Usage: "first number that replaces that of all IPv4 addresses, such as 127", Value: -1},
 			&cli.StringFlag{Name: "entry", Usage: "entry place, for process"},
@@ -60,9 +61,12 @@
 		out, err = process(snap, cmd.String("entry"), cmd.String("object-api"))
 	case "entries":
 		for _, e := range entries(snap) {
-			fmt.Println(e.Name, e.Admin)
+			fmt.Println(e.Name, e.Admin, e.Data)
 		}
 		return nil
+	case "operator-key":
+		fmt.Println(base64.StdEncoding.EncodeToString(localOperatorKey))
+		return nil
 	case "services":
 		for _, path := range slices.Sorted(maps.Keys(snap.Nodes)) {
 			if a := snap.Nodes[path].Values.Address; a != nil {
@@ -71,7 +75,7 @@
 		}
 		return nil
 	default:
-		err = fmt.Errorf("print: %q is none of settings, objects, servers, entries, services, process", cmd.String("print"))
+		err = fmt.Errorf("print: %q is none of settings, objects, servers, entries, services, process, operator-key", cmd.String("print"))
 	}
 	if err != nil {
 		return err
--- /dev/null
+++ b/emul/judge/judge_test.go
@@ -0,0 +1,183 @@
+package judge_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ebonypaddle/emul/caller"
+	"ebonypaddle/emul/judge"
+	"ebonypaddle/emul/server"
+	"ebonypaddle/pkg/conf"
+)
+
+var begin = time.UnixMilli(1_700_000_000_000)
+
+func at(sec float64) time.Time { return begin.Add(time.Duration(sec * float64(time.Second))) }
+
+func event(sec float64, kind string, args ...string) judge.Event {
+	return judge.Event{At: at(sec), Kind: kind, Args: args}
+}
+
+// sample has server 1 in domain a, which leaves, and server 2 in domain b,
+// which is taken out.
+func sample(sec float64, sent uint64) judge.Sample {
+	return judge.Sample{
+		At: at(sec),
+		Instances: map[string]judge.Vars{"a-1": {
+			Refused: map[string]uint64{"coldLimit": sent / 100}, Control: map[string]uint64{"peerBytesOut": sent, "peerBytesIn": 2 * sent},
+		}},
+		Servers: []judge.Server{{ID: 1, Runs: 100, Flows: 3}, {ID: 2, Runs: 60, LastPacket: at(21)}},
+	}
+}
+
+// good returns a run in which everything held.
+func good() *judge.Run {
+	id := conf.ServiceID(7)
+	ms := conf.Duration(time.Millisecond)
+	return &judge.Run{
+		Settings: &conf.Snapshot{
+			Nodes: map[string]conf.Node{"/k/order": {Values: conf.Values{ServiceID: &id}}},
+			Servers: map[string]conf.Server{
+				"s1": {ID: 1, Domain: "a"}, "s2": {ID: 2, Domain: "b"},
+			},
+		},
+		Hosts: []server.Config{{Service: 7, ID: 1, Slots: 2, Mean: ms}, {Service: 7, ID: 2, Slots: 2, Mean: 4 * ms}},
+		Reports: map[string]*caller.Report{"order": {
+			Flows: 10, Outcomes: map[string]uint64{"done": 150}, OnceRuns: map[int]uint64{0: 1, 1: 50}, Broken: map[string]uint64{"domainOut": 2},
+			Unknown: []caller.Unknown{{Sent: at(1), Ended: at(2)}},
+		}},
+		Samples: []judge.Sample{sample(0, 1000), sample(14.5, 2000), sample(17, 3000), sample(27, 500), sample(30, 800)},
+		Events: []judge.Event{
+			event(5, judge.Stop, "a-1"), event(9, judge.Stopped, "a-1"),
+			event(10, judge.Leave, "s1"), event(18, judge.Return, "s1"),
+			event(20, judge.Out, "b"), event(28, judge.Back, "b"),
+			event(29, judge.Force, "setting", "0", "3.9"),
+		},
+		Expect: []string{judge.Stop, judge.Leave, judge.Out, judge.Force},
+	}
+}
+
+func failed(r *judge.Run) []int {
+	var out []int
+	for _, c := range r.Judge() {
+		if !c.OK {
+			out = append(out, c.Requirement)
+		}
+	}
+	return out
+}
+
+// Guards against a verdict that passes whatever happened: each case spoils one
+// thing in a run in which everything held.
+func TestJudge(t *testing.T) {
+	assert.Equal(t, len(failed(good())), 0, "%v", good().Judge())
+	silent := good()
+	silent.Events = append(silent.Events, event(29.5, judge.Cold, "2"))
+	silent.Samples[4].Servers[1].ColdExcess = 3
+	assert.Equal(t, len(failed(silent)), 0, "%v", silent.Judge())
+	for _, tc := range []struct {
+		name  string
+		spoil func(*judge.Run)
+		want  []int
+	}{
+		{"no sample", func(r *judge.Run) { r.Samples = nil }, []int{0}},
+		{"no report", func(r *judge.Run) { r.Reports = nil }, []int{0}},
+		{"no flow", func(r *judge.Run) { r.Reports["order"].Flows = 0 }, []int{0}},
+		{"flow not opened", func(r *judge.Run) { r.Reports["order"].NotOpened = 1 }, []int{0}},
+		{"nothing done", func(r *judge.Run) { delete(r.Reports["order"].Outcomes, "done") }, []int{0}},
+		{"event missing", func(r *judge.Run) { r.Expect = append(r.Expect, judge.Down) }, []int{0}},
+		{"broken flow", func(r *judge.Run) { r.Reports["order"].Broken["stalled"] = 1 }, []int{1}},
+		{"given up without a domain out", func(r *judge.Run) { r.Events, r.Expect = r.Events[:4], nil }, []int{1}},
+		{"misroute", func(r *judge.Run) { r.Samples[4].Servers[0].Misrouted = 1 }, []int{2}},
+		{"cold server fell over", func(r *judge.Run) { r.Samples[4].Servers[1].FellOver = 1 }, []int{3}},
+		{"excess in cold start", func(r *judge.Run) { r.Samples[4].Servers[1].ColdExcess = 1 }, []int{3}},
+		{"silent fall and fell over", func(r *judge.Run) {
+			r.Events = append(r.Events, event(29.5, judge.Cold, "2"))
+			r.Samples[4].Servers[1].ColdExcess, r.Samples[4].Servers[1].FellOver = 1, 1
+		}, []int{3}},
+		{"late packet to a domain out", func(r *judge.Run) { r.Samples[3].Servers[1].LastPacket = at(24.5) }, []int{4}},
+		{"no sample of the domain out", func(r *judge.Run) { r.Samples[3].At = at(29) }, []int{4}},
+		{"failed check of the caller", func(r *judge.Run) { r.Reports["order"].Failed = 1 }, []int{5}},
+		{"second run", func(r *judge.Run) { r.Reports["order"].OnceRuns[2] = 1 }, []int{7}},
+		{"new request on a leaving server", func(r *judge.Run) { r.Samples[2].Servers[0].Runs++ }, []int{8}},
+		{"new flow on a leaving server", func(r *judge.Run) { r.Samples[2].Servers[0].Flows++ }, []int{8}},
+		{"one sample of a leaving server", func(r *judge.Run) { r.Samples[1].At = at(12) }, []int{8}},
+		{"request cut by a stop", func(r *judge.Run) { r.Reports["order"].Unknown[0].Ended = at(6) }, []int{9}},
+		{"setting in force late", func(r *judge.Run) { r.Events[6].Args[2] = "4.1" }, []int{10}},
+		{"setting not in force", func(r *judge.Run) { r.Events[6].Args[1] = "5" }, []int{10}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := good()
+			tc.spoil(r)
+			assert.DeepEqual(t, failed(r), tc.want)
+			_, ok := r.Text(r.Judge())
+			assert.Assert(t, !ok)
+		})
+	}
+}
+
+// Guards against counters that are lost, or counted twice, when a new process
+// starts at a place, and against a use of servers that ignores their speed.
+func TestText(t *testing.T) {
+	r := good()
+	text, ok := r.Text(r.Judge())
+	assert.Assert(t, ok)
+	for _, part := range []string{
+		"refusals                  map[coldLimit:38]", // 30 of one process and 8 of the next
+		"a-1 115/230", // (2000 + 300) bytes in (17 + 3) s
+		"imbalance                 1.41 highest by mean use, /k/order",
+		"given up with the domain  2", "broken flows by cause     map[]",
+	} {
+		assert.Assert(t, strings.Contains(text, part), "%q is not in:\n%s", part, text)
+	}
+}
+
+// Guards against event lines that are read wrongly or skipped.
+func TestParseEvents(t *testing.T) {
+	es, err := judge.ParseEvents("1700000000.500000 force x 0 1.5\n1700000001.0 down\n")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, es, []judge.Event{event(0.5, judge.Force, "x", "0", "1.5"), {At: at(1), Kind: judge.Down, Args: []string{}}})
+	for _, bad := range []string{"", "down", "soon down"} {
+		_, err := judge.ParseEvents(bad)
+		assert.Assert(t, err != nil, bad)
+	}
+}
+
+// Guards against a sample that is complete only when every instance is up, and
+// against one that leaves out the servers.
+func TestCollect(t *testing.T) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/debug/vars", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"cmdline":["x"],"refused":{"coldLimit":3},"control":{"peerBytesOut":9}}`))
+	})
+	mux.HandleFunc("/records", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode([]server.Report{{ID: 4, Flows: 2, Records: []server.Record{{Runs: 1}, {Runs: 2}}}})
+	})
+	mux.HandleFunc("/broken", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = w.Write([]byte("[]"))
+	})
+	srv := httptest.NewServer(mux)
+	defer srv.Close()
+	c := judge.Collector{
+		Clock: func() time.Time { return begin }, HTTP: srv.Client(), Records: []string{srv.URL + "/records"},
+		Instances: map[string]string{"up": strings.TrimPrefix(srv.URL, "http://"), "down": "127.0.0.1:1"},
+	}
+	s, err := c.Collect(context.Background())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, *s, judge.Sample{
+		At:        begin,
+		Instances: map[string]judge.Vars{"up": {Refused: map[string]uint64{"coldLimit": 3}, Control: map[string]uint64{"peerBytesOut": 9}}},
+		Servers:   []judge.Server{{ID: 4, Flows: 2, Runs: 3}},
+	})
+	c.Records = []string{srv.URL + "/broken"}
+	_, err = c.Collect(context.Background())
+	assert.Assert(t, err != nil)
+}
