--- a/emul/caller/load.go
+++ b/emul/caller/load.go
@@ -22,6 +22,14 @@
 	// and Stall the silence after which a flow counts as broken.
 	Flows            int
 	Keepalive, Stall time.Duration
+	// OpenTries bounds the tries to open one flow, OpenPause is the wait
+	// between two. Servers in cold start take few new flows a second, so some
+	// are refused at first.
+	OpenTries int
+	OpenPause time.Duration
+	// FlowLife is the time after which a caller closes a flow and opens
+	// another; with 0 flows live until the end.
+	FlowLife time.Duration
 	// Rate is the number of requests a second, OnceRatio the part of them that
 	// may run once, AnswerSize the largest answer asked for in bytes.
 	Rate       float64
@@ -43,6 +51,9 @@
 
 // Run carries out the run and checks the servers' records.
 func (l *Load) Run(ctx context.Context) (*Report, error) {
+	if err := l.Check(); err != nil {
+		return nil, err
+	}
 	l.rep = NewReport()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -85,18 +96,14 @@
 }
 
 // runFlows opens the flows of a caller and keeps them alive until timed ends.
+// Flows that are open get keepalives while others still try to open, because
+// they would count as stalled otherwise.
 func (l *Load) runFlows(ctx, timed context.Context, c *Caller) {
 	var wg sync.WaitGroup
-	for range l.Flows {
-		wg.Go(func() {
-			if _, err := c.Open(ctx, l.Timeout); err != nil {
-				l.mu.Lock()
-				defer l.mu.Unlock()
-				l.rep.NotOpened++
-			}
-		})
+	defer wg.Wait()
+	for i := range l.Flows {
+		wg.Go(func() { l.runFlow(ctx, timed, c, i) })
 	}
-	wg.Wait()
 	t := time.NewTicker(l.Keepalive)
 	defer t.Stop()
 	for timed.Err() == nil {
@@ -108,6 +115,45 @@
 	}
 }
 
+// runFlow keeps one flow open. With FlowLife it closes the flow after that time
+// and opens another; the first lives shorter by its number, so that the ends
+// spread over time.
+func (l *Load) runFlow(ctx, timed context.Context, c *Caller, number int) {
+	life := l.FlowLife * time.Duration(number+1) / time.Duration(l.Flows)
+	for first := true; first || timed.Err() == nil; first = false {
+		fl, tries, err := l.open(ctx, timed, c)
+		l.mu.Lock()
+		l.rep.OpenRetries += uint64(tries - 1)
+		if err != nil && (first || timed.Err() == nil) {
+			l.rep.NotOpened++
+		}
+		l.mu.Unlock()
+		if err != nil || l.FlowLife <= 0 {
+			return
+		}
+		l.sleep(timed, life)
+		life = l.FlowLife
+		if timed.Err() == nil {
+			c.CloseFlow(fl)
+		}
+	}
+}
+
+// open opens one flow and returns how often it tried. It gives up early when
+// timed ends.
+func (l *Load) open(ctx, timed context.Context, c *Caller) (*Flow, int, error) {
+	for try := 1; ; try++ {
+		fl, err := c.Open(ctx, l.Timeout)
+		if err == nil || try >= l.OpenTries {
+			return fl, try, err
+		}
+		l.sleep(timed, l.OpenPause)
+		if timed.Err() != nil {
+			return nil, try, err
+		}
+	}
+}
+
 // runRequests sends requests at the rate until timed ends, and waits for all
 // of them.
 func (l *Load) runRequests(ctx, timed context.Context) {
