emul/proof: drive several cores under virtual time through faults

Cause: the requirements were tested for each package, not for the composition. Ruled out: doubling requests between instance and server, which no instance can prevent from running twice. Probes go on to the servers of a domain that is out, a cold server gets a second request, and a flow is closed with unknownFlow.

--- /dev/null
+++ b/emul/proof/caller_test.go
@@ -0,0 +1,296 @@
+package proof_test
+
+import (
+	"bytes"
+	"encoding/binary"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"ebonypaddle/emul/body"
+	"ebonypaddle/emul/caller"
+	"ebonypaddle/pkg/calls"
+	"ebonypaddle/pkg/conf"
+	"ebonypaddle/pkg/token"
+	"ebonypaddle/pkg/wire"
+)
+
+// flow is a long-lived flow. It sends a keepalive until its echo comes, then
+// the next one.
+type flow struct {
+	id              uint64
+	caller, service netip.AddrPort
+	stateless       bool
+	token           []byte
+	host            *host
+	opened          bool
+	began           time.Time
+	seq             uint64
+	heard           time.Time
+}
+
+func (fl *flow) packet(kind wire.Kind) wire.Packet {
+	f := wire.Frame{Kind: kind, Flow: fl.id, Token: fl.token}
+	if kind == wire.KindData {
+		f.Body = body.Data(body.Keepalive, fl.seq)
+	}
+	if fl.stateless {
+		f.Flags = wire.FlagStateless
+	}
+	return wire.Packet{Caller: fl.caller, Service: fl.service, Frame: f}
+}
+
+func (w *world) addFlows(n int, stateless bool) {
+	for range n {
+		fl := &flow{stateless: stateless}
+		w.flows = append(w.flows, fl)
+		fl.renew(w)
+	}
+}
+
+func (fl *flow) renew(w *world) {
+	id := w.rnd.Uint64()
+	*fl = flow{
+		id: id, caller: addr(7, 1+int(id%200)), service: addr(8, 1+int(id>>8)%2), stateless: fl.stateless,
+		began: w.now, heard: w.now,
+	}
+}
+
+// excused reports whether the flow may end: its server died, or operators took
+// its failure domain or the server out.
+func (fl *flow) excused(w *world) bool {
+	h := fl.host
+	if h == nil {
+		return true
+	}
+	rec := w.plat.last().Servers[h.name]
+	dom := w.plat.last().Domains[h.domain]
+	return h.gone || !h.died.Before(fl.began) || rec.Mark == conf.MarkRemoved || rec.ID != h.ID || dom.Mark == conf.MarkOut || !dom.Since.Before(fl.began)
+}
+
+// servable reports whether some instance of the server's failure domain can
+// serve the flow. Time in which none can does not count as a stall.
+func (fl *flow) servable(w *world) bool {
+	for _, in := range w.insts {
+		ok := in.up && !in.paused && in.skew == 0 && in.core.Replica.Rev() > 0 && w.now.Sub(in.began) > 5*time.Second
+		if ok && in.domain == fl.host.domain {
+			return true
+		}
+	}
+	return false
+}
+
+func (fl *flow) step(w *world) {
+	switch {
+	case !fl.opened:
+		w.spray(fl.packet(wire.KindOpen))
+	case fl.excused(w):
+		if w.now.Sub(fl.heard) > time.Second {
+			fl.renew(w)
+		}
+	default:
+		if !fl.servable(w) {
+			fl.heard = w.now
+		}
+		if w.now.Sub(fl.heard) > stallTime {
+			w.fault("flow %x on server %s stalled", fl.id, fl.host.name)
+			w.score.broken++
+			fl.renew(w)
+			return
+		}
+		w.spray(fl.packet(wire.KindData))
+	}
+}
+
+func (fl *flow) receive(w *world, f *wire.Frame) {
+	if len(f.Token) > 0 {
+		fl.token = f.Token
+	}
+	switch f.Kind {
+	case wire.KindOpened:
+		if !fl.opened {
+			fl.opened, fl.began, fl.heard = true, w.now, w.now
+			fl.host = w.hostOf(fl.token)
+			w.score.opened++
+		}
+	case wire.KindData:
+		if k, seq, ok := body.ParseData(f.Body); ok && k == body.Keepalive && seq == fl.seq {
+			fl.seq, fl.heard = fl.seq+1, w.now
+		}
+	case wire.KindClosed:
+		if fl.opened && !fl.excused(w) {
+			w.fault("flow %x on server %s closed: %s", fl.id, fl.host.name, f.Reason)
+		}
+		if fl.opened {
+			w.score.broken++
+			fl.renew(w)
+		}
+	}
+}
+
+// hostOf opens a flow's token as the checker, with every key there ever was.
+func (w *world) hostOf(tok []byte) *host {
+	var box token.Box
+	var f token.Flow
+	keys := map[string]conf.Key{}
+	for _, s := range w.plat.snaps {
+		for n, k := range s.Keys {
+			keys[n] = k
+		}
+	}
+	if err := box.SetKeys(keys); err != nil || box.OpenFlow(tok, &f) != nil {
+		w.fault("token does not open")
+		return nil
+	}
+	for _, h := range w.all {
+		if h.ID == f.Server && h.Generation == f.Generation {
+			return h
+		}
+	}
+	w.fault("token names unknown server %d", f.Server)
+	return nil
+}
+
+// request follows the rules for callers in the comment of package calls.
+type request struct {
+	id              wire.RequestID
+	once            bool
+	caller, service netip.AddrPort
+	body            []byte
+	deadline        time.Time
+	sent            time.Time
+	ticket          []byte
+	parts           map[partsOf]*caller.Assembly
+	whole           []byte
+	outcome         wire.Outcome
+	reason          wire.Reason
+}
+
+type partsOf struct {
+	attempt    uint32
+	server     conf.ServerID
+	generation uint32
+	boot       uint64
+}
+
+// ask starts a request. One in four has an answer of several parts.
+func (w *world) ask(once bool) {
+	r := &request{
+		once: once, caller: addr(7, 1+w.rnd.IntN(200)), service: addr(8, 1+w.rnd.IntN(2)),
+		deadline: w.now.Add(2 * time.Second), parts: map[partsOf]*caller.Assembly{},
+	}
+	binary.BigEndian.PutUint64(r.id[:8], w.rnd.Uint64())
+	binary.BigEndian.PutUint64(r.id[8:], w.rnd.Uint64())
+	size := 100
+	if w.rnd.IntN(4) == 0 {
+		size = 3000
+	}
+	r.body = body.Request(size, r.id[:4])
+	w.reqs[r.id] = r
+	r.send(w)
+}
+
+func (r *request) send(w *world) {
+	r.sent = w.now
+	f := wire.Frame{Kind: wire.KindRequest, ID: r.id, Token: r.ticket, Body: r.body, Timeout: uint32(max(r.deadline.Sub(w.now).Milliseconds(), 1))}
+	if r.once {
+		f.Flags = wire.FlagOnce
+	}
+	w.spray(wire.Packet{Caller: r.caller, Service: r.service, Frame: f})
+}
+
+func (r *request) step(w *world) {
+	switch {
+	case w.now.After(r.deadline.Add(calls.CallerGrace)):
+		r.end(w, wire.OutcomeUnknown)
+	case w.now.Before(r.deadline) && w.now.Sub(r.sent) >= 300*time.Millisecond:
+		r.send(w)
+	}
+}
+
+func (r *request) receive(w *world, f *wire.Frame) {
+	switch {
+	case f.Kind == wire.KindAnswer:
+		k := partsOf{f.Attempt, f.Server, f.Generation, f.Boot}
+		if r.parts[k] == nil {
+			r.parts[k] = &caller.Assembly{}
+		}
+		if whole, ok := r.parts[k].Add(f.Part, f.Parts, f.Body); ok {
+			r.whole = whole
+			r.end(w, wire.OutcomeDone)
+		}
+	case f.Kind != wire.KindRefusal:
+	case f.Reason == wire.ReasonTicketNeeded:
+		// The network may double this refusal, so a second one says nothing.
+		if r.once && r.ticket == nil && len(f.Token) > 0 {
+			r.ticket = f.Token
+			r.send(w)
+		}
+	case r.once && r.ticket != nil && f.Outcome == wire.OutcomeNotRun && bytes.Equal(f.Token, r.ticket):
+		r.reason = f.Reason
+		r.end(w, wire.OutcomeNotRun)
+	default:
+		r.reason = f.Reason
+	}
+}
+
+func (r *request) end(w *world, o wire.Outcome) {
+	r.outcome = o
+	delete(w.reqs, r.id)
+	w.over = append(w.over, r)
+	switch o {
+	case wire.OutcomeDone:
+		w.score.done++
+	case wire.OutcomeNotRun:
+		w.score.notRun++
+	default:
+		w.score.unknown++
+	}
+}
+
+// verify compares what the caller was told with the runs at the servers.
+func (r *request) verify(w *world, runs int) {
+	switch {
+	case r.once && runs > 1:
+		w.fault("request %x may run once and ran %d times", r.id, runs)
+	case r.outcome == wire.OutcomeNotRun && runs > 0:
+		w.fault("request %x ran although it got notRun (%s)", r.id, r.reason)
+	case r.outcome == wire.OutcomeDone && runs == 0:
+		w.fault("request %x is done and never ran", r.id)
+	case r.outcome == wire.OutcomeDone && !bytes.Equal(r.whole, body.Answer(r.id, body.Size(r.body))):
+		w.fault("request %x got another answer than its own", r.id)
+	}
+}
+
+func (w *world) toCaller(to netip.AddrPort, b []byte) {
+	var p wire.Packet
+	if wire.Decode(b, &p) != nil {
+		return
+	}
+	if r := w.reqs[p.Frame.ID]; r != nil {
+		if r.caller != to {
+			w.fault("answer to request %x reached another caller", r.id)
+		}
+		r.receive(w, &p.Frame)
+		return
+	}
+	for _, fl := range w.flows {
+		if fl.id == p.Frame.Flow && fl.caller == to {
+			fl.receive(w, &p.Frame)
+		}
+	}
+}
+
+// callers lets every caller act; it runs every 100 ms.
+func (w *world) callers() {
+	for _, fl := range w.flows {
+		fl.step(w)
+	}
+	for _, r := range slices.SortedFunc(maps.Values(w.reqs), func(a, b *request) int { return bytes.Compare(a.id[:], b.id[:]) }) {
+		r.step(w)
+	}
+	for i := range 4 {
+		w.ask(i%2 == 0)
+	}
+}
--- /dev/null
+++ b/emul/proof/world_test.go
@@ -0,0 +1,293 @@
+// Package proof_test drives several cores in one process under virtual time
+// and checks after every step what must always hold.
+package proof_test
+
+import (
+	"container/heap"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"ebonypaddle/emul/server"
+	"ebonypaddle/pkg/conf"
+	"ebonypaddle/pkg/wire"
+)
+
+const (
+	tick     = 20 * time.Millisecond
+	hostTick = 5 * time.Millisecond
+	// inForce is the time within which a setting must be in force.
+	inForce = 4 * time.Second
+	// detectCold is the time in which a fall without warning must be found.
+	detectCold = time.Second
+	// fabricLag is how late the fabric hears that an instance left or died.
+	fabricLag = time.Second
+	// stallTime is how long a flow may go without an echo although an instance
+	// could serve it; callers repeat every 100 ms.
+	stallTime = 8 * time.Second
+)
+
+var (
+	begin   = time.UnixMilli(1_700_000_000_000)
+	fabric  = addr(9, 1)
+	domains = []string{"a", "b", "c"}
+)
+
+func addr(n, i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(n), byte(i)}), 4000)
+}
+
+type event struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	x := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return x
+}
+
+// host is a backend server with what the checks need to know of it.
+type host struct {
+	*server.Host
+	domain string
+	name   string
+	gone   bool // stopped for good
+	died   time.Time
+	silent time.Time // fell into cold start without warning
+}
+
+// world holds the instances, servers, callers and the platform, and the queue
+// of datagrams between them.
+type world struct {
+	t     testing.TB
+	now   time.Time
+	rnd   *rand.Rand
+	queue events
+	seq   int
+	plat  platform
+	insts []*inst
+	hosts map[netip.AddrPort]*host
+	all   []*host
+	flows []*flow
+	reqs  map[wire.RequestID]*request
+	over  []*request
+	cut   map[string]bool // failure domains without a link to the others
+	loss  float64
+	// taps see datagrams of a caller, and of instances, for replay.
+	frames, peers [][]byte
+	bad           []string
+	score         score
+}
+
+// score counts what happened, each by second of virtual time when asked for.
+type score struct {
+	opened, broken, done, notRun, unknown, refused, edits int
+	reached                                               int // frames checked at servers
+}
+
+func (w *world) fault(format string, args ...any) {
+	if len(w.bad) < 8 {
+		w.bad = append(w.bad, fmt.Sprintf("%7.3fs ", w.now.Sub(begin).Seconds())+fmt.Sprintf(format, args...))
+	}
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.queue, event{w.now.Add(d), w.seq, do})
+}
+
+func (w *world) every(d time.Duration, do func()) {
+	w.after(d, func() { do(); w.every(d, do) })
+}
+
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = end
+}
+
+// linked reports whether datagrams pass between two failure domains. Callers
+// and the platform have the domain "".
+func (w *world) linked(a, b string) bool { return a == b || !w.cut[a] && !w.cut[b] }
+
+// transmit carries one datagram with loss, delay, reordering and, if twice,
+// duplication.
+func (w *world) transmit(from, to string, twice bool, do func()) {
+	if !w.linked(from, to) || w.rnd.Float64() < w.loss {
+		return
+	}
+	d := 300*time.Microsecond + time.Duration(w.rnd.Int64N(int64(time.Millisecond)))
+	if w.rnd.Float64() < 2*w.loss {
+		d += time.Duration(w.rnd.Int64N(int64(200 * time.Millisecond)))
+	}
+	w.after(d, do)
+	if twice && w.rnd.Float64() < w.loss {
+		w.transmit(from, to, false, do)
+	}
+}
+
+// toServer hands a datagram of an instance to the server at an address and
+// checks that it may arrive there.
+func (w *world) toServer(from *inst, to netip.AddrPort, b []byte) {
+	h := w.hosts[to]
+	var p wire.Packet
+	if h == nil || h.gone || wire.Decode(b, &p) != nil {
+		return
+	}
+	w.sendOuts(h, h.Tick(w.now))
+	w.check(from, h, &p.Frame)
+	w.sendOuts(h, h.Handle(w.now, from.entry.Data, &p))
+}
+
+// check applies the requirements on frames that reach a server. A frame whose
+// deadline has passed is discarded by the server and not counted: a process
+// that is stopped between decision and send cannot recall it.
+func (w *world) check(from *inst, h *host, f *wire.Frame) {
+	w.score.reached++
+	if f.Deadline != 0 && w.now.After(f.DeadlineTime()) {
+		return
+	}
+	what := fmt.Sprintf("frame kind %d from %s to server %s", f.Kind, from.entry.Name, h.name)
+	work := f.Kind == wire.KindOpen || f.Kind == wire.KindRequest
+	if f.Kind != wire.KindProbe && (f.Service != h.Service || f.Server != h.ID || f.Generation != h.Generation) {
+		w.fault("wrong service: %s is for service %d server %d", what, f.Service, f.Server)
+	}
+	excused := from.domain == h.domain && w.now.Sub(from.rough) < inForce
+	dom := w.plat.last().Domains[h.domain]
+	if dom.Mark == conf.MarkOut && w.now.Sub(dom.Since) > inForce && !excused {
+		w.fault("domain out: %s after %v", what, w.now.Sub(dom.Since))
+	}
+	rec := w.plat.last().Servers[h.name]
+	if work && rec.Mark != conf.MarkIn && w.now.Sub(rec.Since) > inForce && !excused {
+		w.fault("leaving server: %s after %v", what, w.now.Sub(rec.Since))
+	}
+	if f.Kind == wire.KindRequest && h.Health(w.now) == "cold" && w.now.Sub(h.silent) > detectCold {
+		if n := int(h.Load(w.now).InFlight); n >= h.ColdSlots {
+			w.fault("cold start: %s with %d in progress of %d", what, n, h.ColdSlots)
+		}
+	}
+}
+
+func (w *world) sendOuts(h *host, outs []server.Out) {
+	for i := range outs {
+		b, err := wire.Encode(&outs[i].Packet)
+		if err != nil {
+			w.fault("server %s cannot encode: %v", h.name, err)
+			continue
+		}
+		for _, in := range w.insts {
+			if in.entry.Data == outs[i].To {
+				w.transmit(h.domain, in.domain, true, func() { in.data(h.Addr, b) })
+			}
+		}
+	}
+}
+
+// spray sends a caller's packet to a random instance that the fabric knows.
+func (w *world) spray(p wire.Packet) {
+	b, err := wire.Encode(&p)
+	if err != nil {
+		w.fault("caller cannot encode: %v", err)
+		return
+	}
+	var known []*inst
+	for _, in := range w.insts {
+		stale := w.now.Sub(in.changed) < fabricLag
+		if in.up && !in.leaving || stale && in.up == in.leaving {
+			known = append(known, in)
+		}
+	}
+	if len(known) == 0 {
+		return
+	}
+	in := known[w.rnd.IntN(len(known))]
+	if w.rnd.Float64() < 0.02 && len(w.frames) < 400 {
+		w.frames = append(w.frames, b)
+	}
+	w.transmit("", "", true, func() { in.data(fabric, b) })
+}
+
+// newWorld starts six instances, seven servers and the callers.
+func newWorld(t testing.TB, seed uint64) *world {
+	w := &world{
+		t: t, now: begin, rnd: rand.New(rand.NewPCG(seed, 77)), hosts: map[netip.AddrPort]*host{},
+		reqs: map[wire.RequestID]*request{}, cut: map[string]bool{}, loss: 0.01,
+	}
+	w.plat.w = w
+	w.plat.snaps = []*conf.Snapshot{settings(w)}
+	for i, d := range domains {
+		for j := range 2 {
+			in := &inst{w: w, domain: d, entry: w.plat.last().Domains[d].Entries[j], seed: seed*100 + uint64(2*i+j)}
+			w.insts = append(w.insts, in)
+			in.start()
+			w.every(tick, in.tick)
+			w.every(5*tick, in.readSettings)
+		}
+	}
+	for _, s := range slices.SortedFunc(maps.Values(w.plat.last().Servers), byName) {
+		w.addHost(s)
+	}
+	w.every(hostTick, func() {
+		for _, h := range w.all {
+			if !h.gone {
+				w.sendOuts(h, h.Tick(w.now))
+			}
+		}
+	})
+	w.every(100*time.Millisecond, w.callers)
+	return w
+}
+
+func (w *world) addHost(s conf.Server) {
+	svc := *w.plat.last().Nodes[s.Service].Values.ServiceID
+	h := &host{domain: s.Domain, name: s.Name, Host: &server.Host{
+		Rand: rand.New(rand.NewPCG(uint64(s.ID), 3)),
+		Config: server.Config{
+			Service: svc, ID: s.ID, Generation: s.Generation, Addr: s.Addr, Slots: 2, Queue: 4, Connections: 2000,
+			Mean: conf.Duration(20 * time.Millisecond), ColdTime: conf.Duration(coldTime), ColdSlots: 1, ColdMargin: 100,
+			DownTime: conf.Duration(3 * time.Second),
+		},
+	}}
+	h.Start(w.now)
+	w.hosts[s.Addr] = h
+	w.all = append(w.all, h)
+}
+
+// verify fails the test with what was found, and checks the runs of requests.
+func (w *world) verify(name string) {
+	w.t.Helper()
+	runs := map[string]int{}
+	for _, h := range w.all {
+		for _, r := range h.Report().Records {
+			runs[r.ID] += r.Runs
+		}
+	}
+	for _, r := range w.over {
+		r.verify(w, runs[fmt.Sprintf("%x", r.id)])
+	}
+	for _, b := range w.bad {
+		w.t.Errorf("%s: %s", name, b)
+	}
+	if w.score.reached == 0 || w.score.opened == 0 || w.score.done == 0 {
+		w.t.Errorf("%s: nothing was served: %+v", name, w.score)
+	}
+}
