core: probe servers of other failure domains only while fresh

Cause: TestFaults/pauseBeforeSend+domainOut found an instance that was paused before it heard of a mark and then probed the servers of the domain 5.8 s after the mark. Change: Core.probe skips servers of other failure domains while the instance is not fresh. Ruled out: a deadline on probes alone; it was there and had not passed. Conclusion: nothing crosses failure domains without freshness, probes included.

--- a/pkg/core/control.go
+++ b/pkg/core/control.go
@@ -232,7 +232,12 @@
 
 func (c *Core) probe(now time.Time) {
 	c.probes = c.Servers.Probes(now, c.probes[:0])
+	fresh := now.Before(c.Fresh.CrossUntil(now))
 	for _, p := range c.probes {
+		if !fresh && c.addrs[p.Server].domain != c.Domain {
+			// The domain may be out without this instance knowing.
+			continue
+		}
 		q := wire.Packet{Caller: c.Entry.Data, Service: c.Entry.Data}
 		q.Frame = wire.Frame{Kind: wire.KindProbe, Service: p.Service, Server: p.Server, Generation: p.Generation}
 		q.Frame.SetDeadline(now.Add(time.Second))
