core, token: renew flow tokens that are sealed with an old key

Cause: TestScenarios/keyRotation found every flow stalled after a rotation. Tokens were sealed at the opening of a flow only, so the removal of the old key ended all flows opened before it. Change: a data frame whose token is sealed with another key than the one that is due is forwarded, and the caller gets an opened frame with a new token. Box keeps the identifiers of its keys and no longer walks all 256 places for the newest. Ruled out: waiting for the server's next frame, since it does not show which key the caller's token has. Conclusion: a flow survives the rotation if its caller sends one packet between sealFrom and the removal of the old key.

--- a/emul/proof/caller_test.go
+++ b/emul/proof/caller_test.go
@@ -282,7 +282,7 @@
 	for _, r := range slices.SortedFunc(maps.Values(w.reqs), func(a, b *request) int { return bytes.Compare(a.id[:], b.id[:]) }) {
 		r.step(w)
 	}
-	for i := range 4 {
+	for i := range w.rate {
 		w.ask(i%2 == 0)
 	}
 }
--- a/emul/proof/proof_test.go
+++ b/emul/proof/proof_test.go
@@ -164,6 +164,7 @@
 	}},
 	// A server starts long after the instances that know it.
 	{"lateServer", func(w *world) {
+		w.rate = 20
 		h := w.all[0]
 		h.died, h.gone = w.now, true
 		w.run(5 * time.Second)
--- a/emul/proof/world_test.go
+++ b/emul/proof/world_test.go
@@ -90,6 +90,7 @@
 	over  []*request
 	cut   map[string]bool // failure domains without a link to the others
 	loss  float64
+	rate  int // requests in 100 ms
 	// taps see datagrams of a caller, and of instances, for replay.
 	frames, peers [][]byte
 	bad           []string
@@ -238,7 +239,7 @@
 func newWorld(t testing.TB, seed uint64) *world {
 	w := &world{
 		t: t, now: begin, rnd: rand.New(rand.NewPCG(seed, 77)), hosts: map[netip.AddrPort]*host{},
-		reqs: map[wire.RequestID]*request{}, cut: map[string]bool{}, loss: 0.01,
+		reqs: map[wire.RequestID]*request{}, cut: map[string]bool{}, loss: 0.01, rate: 4,
 	}
 	w.plat.w = w
 	w.plat.snaps = []*conf.Snapshot{settings(w)}
--- a/pkg/core/caller.go
+++ b/pkg/core/caller.go
@@ -71,6 +71,7 @@
 			c.openOn(now, p, rt.Server)
 			return
 		}
+		c.renew(now, p, rt)
 		c.forward(now, p, rt.Server, rt.Generation)
 	case flow.Refuse:
 		c.refuseFlow(now, p, rt.Reason)
@@ -103,6 +104,23 @@
 	c.toServer(p, ch.Addr, ch.Server, ch.Generation, ch.Deadline)
 }
 
+// renew gives the caller a token under the newest key. The old key may be
+// removed later, and the flow would end with it.
+func (c *Core) renew(now time.Time, p *wire.Packet, rt flow.Route) {
+	if p.Frame.Kind != wire.KindData || !c.box.Outdated(now, p.Frame.Token) {
+		return
+	}
+	svc, _ := c.Router.Service(p.Service)
+	tok, err := c.Router.Opened(now, nil, svc, rt.Server, rt.Generation, p.Frame.Flow)
+	if err != nil {
+		return
+	}
+	c.toCaller(p, wire.Frame{
+		Kind: wire.KindOpened, Flow: p.Frame.Flow, Token: tok,
+		Service: svc, Server: rt.Server, Generation: rt.Generation,
+	})
+}
+
 // forward sends a frame of an established flow to its server. It does not
 // allocate.
 func (c *Core) forward(now time.Time, p *wire.Packet, id conf.ServerID, generation uint32) {
--- a/pkg/token/token.go
+++ b/pkg/token/token.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"slices"
 	"time"
 
 	"ebonypaddle/pkg/conf"
@@ -71,6 +72,7 @@
 
 	keys [256]cipher.AEAD
 	from [256]time.Time
+	ids  []uint8 // of keys, in ascending order
 	buf  [plainSize]byte
 	out  [plainSize]byte
 }
@@ -79,6 +81,7 @@
 func (x *Box) SetKeys(keys map[string]conf.Key) error {
 	x.keys = [256]cipher.AEAD{}
 	x.from = [256]time.Time{}
+	x.ids = x.ids[:0]
 	for name, k := range keys {
 		block, err := aes.NewCipher(k.Secret)
 		if err != nil {
@@ -90,23 +93,33 @@
 		}
 		x.keys[k.ID] = aead
 		x.from[k.ID] = k.SealFrom
+		x.ids = append(x.ids, k.ID)
 	}
+	slices.Sort(x.ids)
 	return nil
 }
 
 // sealKey returns the newest key that is due for sealing. Waiting for
 // SealFrom keeps tokens readable on instances that learn of a key late.
 func (x *Box) sealKey(now time.Time) (uint8, bool) {
-	best, found := 0, false
-	for i, k := range x.keys {
-		if k == nil || x.from[i].After(now) {
+	best, found := uint8(0), false
+	for _, i := range x.ids {
+		if x.from[i].After(now) {
 			continue
 		}
 		if !found || x.from[i].After(x.from[best]) {
 			best, found = i, true
 		}
 	}
-	return uint8(best), found
+	return best, found
+}
+
+// Outdated reports whether a credential that opens is sealed with another key
+// than the one that is due now, so that its holder needs a new one before the
+// old key is removed. It does not allocate.
+func (x *Box) Outdated(now time.Time, tok []byte) bool {
+	id, ok := x.sealKey(now)
+	return ok && len(tok) == Size && tok[1] != id
 }
 
 // SealFlow appends a sealed flow token to dst.
