--- a/emul/caller/flow.go
+++ b/emul/caller/flow.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"ebonypaddle/emul/body"
+	"ebonypaddle/pkg/conf"
 	"ebonypaddle/pkg/wire"
 )
 
@@ -22,12 +23,14 @@
 	// Gaps the numbers that the push feed skipped.
 	Sent, Echoed, Gaps uint64
 
-	missing   map[uint64]bool // keepalives without an echo
-	lastPush  uint64
-	latePush  map[uint64]bool // skipped numbers that may still come
-	lastHeard time.Time
-	brokenAt  time.Time
-	closing   bool // the caller closed it
+	server     conf.ServerID // that opened the flow
+	generation uint32
+	missing    map[uint64]bool // keepalives without an echo
+	lastPush   uint64
+	latePush   map[uint64]bool // skipped numbers that may still come
+	lastHeard  time.Time
+	brokenAt   time.Time
+	closing    bool // the caller closed it
 }
 
 // live tells whether the flow is open at both ends.
@@ -51,12 +54,17 @@
 	if fl.Broken != "" {
 		return
 	}
+	if f.Kind == wire.KindOpened && !fl.Open {
+		fl.Open, fl.lastHeard = true, now
+		fl.server, fl.generation = f.Server, f.Generation
+	}
+	if f.Server != 0 && (f.Server != fl.server || f.Generation != fl.generation) {
+		return // a repeated open frame reached another server
+	}
 	if len(f.Token) > 0 {
 		fl.Token = f.Token
 	}
 	switch f.Kind {
-	case wire.KindOpened:
-		fl.Open, fl.lastHeard = true, now
 	case wire.KindClosed:
 		if fl.closing {
 			return // The close frame overtook a keepalive on another path.
--- a/pkg/core/caller.go
+++ b/pkg/core/caller.go
@@ -65,22 +65,26 @@
 	switch rt.Verdict {
 	case flow.Hold:
 	case flow.Place:
-		c.open(now, p)
+		c.open(now, p, 0)
 	case flow.Forward:
 		if rt.Stateless && p.Frame.Kind == wire.KindOpen {
-			c.openOn(now, p, rt.Server)
+			c.open(now, p, rt.Server)
 			return
 		}
+		c.renew(now, p, rt)
 		c.forward(now, p, rt.Server, rt.Generation)
 	case flow.Refuse:
 		c.refuseFlow(now, p, rt.Reason)
 	}
 }
 
-// open places a new flow.
-func (c *Core) open(now time.Time, p *wire.Packet) {
+// open places a new flow on the server only, if it is not zero: the server of
+// the bucket of a caller without token. A server in cold start takes new flows
+// within its quota.
+func (c *Core) open(now time.Time, p *wire.Packet, only conf.ServerID) {
 	svc, _ := c.Router.Service(p.Service)
 	ask := c.ask(now, svc, true, c.deadline(now, svc, p.Frame.Timeout))
+	ask.Only = only
 	ch, why := c.Picker.Place(now, &ask)
 	if why != wire.ReasonNone {
 		c.refuse(p, why)
@@ -89,18 +93,21 @@
 	c.toServer(p, ch.Addr, ch.Server, ch.Generation, ch.Deadline, ch.Expires)
 }
 
-// openOn admits a new flow of a caller without token to the server of its
-// bucket. A server in cold start takes such flows within its quota only.
-func (c *Core) openOn(now time.Time, p *wire.Packet, id conf.ServerID) {
+// renew gives the caller a token under the newest key. The old key may be
+// removed later, and the flow would end with it.
+func (c *Core) renew(now time.Time, p *wire.Packet, rt flow.Route) {
+	if p.Frame.Kind != wire.KindData || !c.box.Outdated(now, p.Frame.Token) {
+		return
+	}
 	svc, _ := c.Router.Service(p.Service)
-	ask := c.ask(now, svc, true, c.deadline(now, svc, p.Frame.Timeout))
-	ask.Only = id
-	ch, why := c.Picker.Place(now, &ask)
-	if why != wire.ReasonNone {
-		c.refuse(p, why)
+	tok, err := c.Router.Opened(now, nil, svc, rt.Server, rt.Generation, p.Frame.Flow)
+	if err != nil {
 		return
 	}
-	c.toServer(p, ch.Addr, ch.Server, ch.Generation, ch.Deadline, ch.Expires)
+	c.toCaller(p, wire.Frame{
+		Kind: wire.KindOpened, Flow: p.Frame.Flow, Token: tok,
+		Service: svc, Server: rt.Server, Generation: rt.Generation,
+	})
 }
 
 // forward sends a frame of an established flow to its server. It does not
@@ -127,20 +134,6 @@
 		}
 	}
 	c.toServer(p, t.addr, id, generation, until, until)
-	if c.box.Outdated(now, p.Frame.Token) {
-		c.renew(now, p, id, generation)
-	}
-}
-
-// renew gives the caller a token under the newest key.
-func (c *Core) renew(now time.Time, p *wire.Packet, id conf.ServerID, generation uint32) {
-	svc, _ := c.Router.Service(p.Service)
-	tok, err := c.Router.Opened(now, nil, svc, id, generation, p.Frame.Flow)
-	if err != nil {
-		c.Stats.Dropped.Add(wire.ReasonBadToken)
-		return
-	}
-	c.toCaller(p, wire.Frame{Kind: wire.KindOpened, Flow: p.Frame.Flow, Token: tok})
 }
 
 // toServer sends a caller's frame to a server in the caller's name.
--- a/pkg/token/token.go
+++ b/pkg/token/token.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"slices"
 	"time"
 
 	"ebonypaddle/pkg/conf"
@@ -71,20 +72,16 @@
 
 	keys [256]cipher.AEAD
 	from [256]time.Time
-	// current is the key to seal with, found whether there is one, due when
-	// the next key takes over. chosen is unset until they are computed.
-	current       uint8
-	found, chosen bool
-	due           time.Time
-	buf           [plainSize]byte
-	out           [plainSize]byte
+	ids  []uint8 // of keys, in ascending order
+	buf  [plainSize]byte
+	out  [plainSize]byte
 }
 
 // SetKeys replaces the keys.
 func (x *Box) SetKeys(keys map[string]conf.Key) error {
 	x.keys = [256]cipher.AEAD{}
 	x.from = [256]time.Time{}
-	x.chosen = false
+	x.ids = x.ids[:0]
 	for name, k := range keys {
 		block, err := aes.NewCipher(k.Secret)
 		if err != nil {
@@ -96,39 +93,30 @@
 		}
 		x.keys[k.ID] = aead
 		x.from[k.ID] = k.SealFrom
+		x.ids = append(x.ids, k.ID)
 	}
+	slices.Sort(x.ids)
 	return nil
 }
 
 // sealKey returns the newest key that is due for sealing. Waiting for
-// SealFrom keeps tokens readable on instances that learn of a key late. The
-// choice is kept until the next key is due, since every packet asks for it.
+// SealFrom keeps tokens readable on instances that learn of a key late.
 func (x *Box) sealKey(now time.Time) (uint8, bool) {
-	if !x.chosen || !x.due.IsZero() && !now.Before(x.due) {
-		x.choose(now)
-	}
-	return x.current, x.found
-}
-
-func (x *Box) choose(now time.Time) {
-	x.chosen, x.found, x.due = true, false, time.Time{}
-	for i, k := range x.keys {
-		from := x.from[i]
-		switch {
-		case k == nil:
-		case from.After(now):
-			if x.due.IsZero() || from.Before(x.due) {
-				x.due = from
-			}
-		case !x.found || from.After(x.from[x.current]):
-			x.current, x.found = uint8(i), true
+	best, found := uint8(0), false
+	for _, i := range x.ids {
+		if x.from[i].After(now) {
+			continue
+		}
+		if !found || x.from[i].After(x.from[best]) {
+			best, found = i, true
 		}
 	}
+	return best, found
 }
 
-// Outdated reports whether a token that opens is sealed with a key that is no
-// longer the newest, so that the caller should get a new one before operators
-// remove that key.
+// Outdated reports whether a credential that opens is sealed with another key
+// than the one that is due now, so that its holder needs a new one before the
+// old key is removed. It does not allocate.
 func (x *Box) Outdated(now time.Time, tok []byte) bool {
 	id, ok := x.sealKey(now)
 	return ok && len(tok) == Size && tok[1] != id
