member: let BenchmarkTick run as long as asked

The benchmark ended with an index out of range as soon as a datagram to one of its members was delivered, which a run of 200 ms reaches and one iteration does not. The members now exist as instances that are off.

Before: panic at 600 members.

--- a/pkg/member/bench_test.go
+++ b/pkg/member/bench_test.go
@@ -90,6 +90,8 @@
 			t := l.nodes[0]
 			for i := range n {
 				t.merge(epoch, Update{Addr: addr(i + 1), Domain: "fi-south-1", Incarnation: 1, State: Alive}, false)
+				// The member takes no datagrams, however long the run is.
+				l.nodes, l.off = append(l.nodes, nil), append(l.off, true)
 			}
 			for b.Loop() {
 				l.run(step)
