member: leave room above the incarnation of a predecessor

Cause: a process with a clock that was set back learns its predecessor's incarnation from peers and took that plus one. If the predecessor had refuted a suspicion shortly before it ended, peers that had heard of it held the same incarnation, and their record of the predecessor could not be told from the new process.

Change: the new process takes the incarnation it hears plus 1,000.

--- a/pkg/member/receive.go
+++ b/pkg/member/receive.go
@@ -95,12 +95,24 @@
 	return true
 }
 
+// predecessorGap is added to the incarnation of a process that ran before this
+// one at the same address. That process may have refuted suspicions of which
+// the sender had not heard; one more than the sender's figure was then the
+// predecessor's own incarnation.
+const predecessorGap = 1000
+
 // refute answers what others say of this instance with a higher incarnation.
 func (t *Table) refute(u Update) {
-	worse := u.Incarnation == t.me.Incarnation && u.State > t.me.State
-	if u.Incarnation > t.me.Incarnation || worse {
-		t.Counters.Refuted++
-		t.me.Incarnation = u.Incarnation + 1
-		t.tell(t.me)
+	next := t.me.Incarnation
+	switch {
+	case u.Incarnation > t.me.Incarnation:
+		next = u.Incarnation + predecessorGap
+	case u.Incarnation == t.me.Incarnation && u.State > t.me.State:
+		next++
+	default:
+		return
 	}
+	t.Counters.Refuted++
+	t.me.Incarnation = next
+	t.tell(t.me)
 }
