--- /dev/null
+++ b/pkg/conf/step_test.go
@@ -0,0 +1,65 @@
+package conf
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a change of a server that no table hears of.
+func TestServerStep(t *testing.T) {
+	base := Empty()
+	for i := range 300 {
+		name := fmt.Sprint(i)
+		base.Servers[name] = Server{ID: ServerID(i), Name: name, Generation: 1}
+	}
+	for name, c := range map[string]struct {
+		change    func(*Snapshot)
+		set, gone int
+		ok        bool
+	}{
+		"nothing":  {func(*Snapshot) {}, 0, 0, true},
+		"changed":  {func(s *Snapshot) { s.Servers["7"] = Server{ID: 7, Generation: 2} }, 1, 1, true},
+		"added":    {func(s *Snapshot) { s.Servers["x"] = Server{ID: 301} }, 1, 0, true},
+		"deleted":  {func(s *Snapshot) { delete(s.Servers, "7") }, 0, 1, true},
+		"replaced": {func(s *Snapshot) { delete(s.Servers, "7"); s.Servers["x"] = Server{ID: 7} }, 1, 1, true},
+		"all gone": {func(s *Snapshot) { clear(s.Servers) }, 0, 300, false},
+		"domains":  {func(s *Snapshot) { s.Domains = maps.Clone(s.Domains) }, 0, 0, false},
+		"nodes":    {func(s *Snapshot) { s.Nodes = maps.Clone(s.Nodes) }, 0, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			next := *base
+			next.Servers = maps.Clone(base.Servers)
+			c.change(&next)
+			step, ok := ServerStep(base, &next)
+			assert.Equal(t, ok, c.ok)
+			assert.Equal(t, len(step.Set), c.set)
+			assert.Equal(t, len(step.Gone), c.gone)
+		})
+	}
+	_, ok := ServerStep(nil, base)
+	assert.Assert(t, !ok)
+}
+
+// Guards against values of a service where its failure domain has its own, and
+// against a result that differs from Resolve.
+func TestCacheEqualsResolve(t *testing.T) {
+	s, two, five := Empty(), 2, 5
+	s.Nodes["/"], s.Nodes["/h"] = Node{Path: "/"}, Node{Path: "/h"}
+	s.Nodes["/h/a"] = Node{Path: "/h/a", Values: Values{Slots: &two}}
+	s.Nodes["/h/a/d1"] = Node{Path: "/h/a/d1", Values: Values{Slots: &five}}
+	for i := range 3 {
+		name := fmt.Sprint("d", i)
+		s.Domains[name] = Domain{Name: name, Half: "h"}
+	}
+	c := Cache{Snapshot: s}
+	for i := range 6 {
+		name := fmt.Sprint("d", i%3)
+		want, err := s.Resolve("/h/a/" + name)
+		assert.NilError(t, err)
+		assert.Equal(t, c.Server(&Server{Service: "/h/a", Domain: name}).Slots, want.Slots, name)
+	}
+	assert.Equal(t, len(c.at), 2)
+}
