token: seal into one slice in race builds too

Cause: slices.Grow makes a second slice in builds with the race detector, where TestAllocations reports 2 allocations instead of 1. Change: the slice of full size is made directly. Ruled out: a wider bound in the test. Conclusion: one allocation in both kinds of build.

--- a/pkg/token/token.go
+++ b/pkg/token/token.go
@@ -11,7 +11,6 @@
 	"fmt"
 	"io"
 	"net/netip"
-	"slices"
 	"time"
 
 	"ebonypaddle/pkg/conf"
@@ -197,7 +196,9 @@
 	if !ok {
 		return nil, ErrNoKey
 	}
-	dst = slices.Grow(dst, Size)
+	if cap(dst)-len(dst) < Size {
+		dst = append(make([]byte, 0, len(dst)+Size), dst...)
+	}
 	start := len(dst)
 	dst = append(dst, typ, id)
 	dst = append(dst, make([]byte, nonceSize)...)
