calls: refuse relayed frames with fields out of range

Cause: a relayed frame is decoded as part of a control message, which skips the checks of wire.DecodeFrame for kind, outcome, reason, token and parts. Change: DecodePeer calls Check of a body that has one, and Relay checks its frame. Ruled out: checks in HandleRelay, which would have to repeat them. Figures: a relay whose reason does not exist was decoded without an error before and yields the zero value and an error after, in TestRelayFits. Conclusion: frames pass the same checks on both ways into an instance.

--- a/pkg/calls/calls_test.go
+++ b/pkg/calls/calls_test.go
@@ -332,7 +332,8 @@
 	}
 }
 
-// The largest relayed request must fit into a sealed control datagram.
+// The largest relayed request must fit into a sealed control datagram, and one
+// with a field out of range must not pass around the checks of Decode.
 func TestRelayFits(t *testing.T) {
 	r := newRig(t)
 	p := r.ticketed()
@@ -348,6 +349,15 @@
 	m, err := wire.DecodePeer[calls.Relay](body)
 	assert.NilError(t, err)
 	assert.Equal(t, fmt.Sprint(m), fmt.Sprint(s.Peer.Body))
+	bad := m
+	bad.Frame.Reason = wire.Reason(wire.ReasonCount)
+	b, err = x.Seal(wire.PeerMsg{Kind: wire.PeerRelay, Body: bad})
+	assert.NilError(t, err)
+	_, body, err = x.Open(b)
+	assert.NilError(t, err)
+	bad, err = wire.DecodePeer[calls.Relay](body)
+	assert.ErrorContains(t, err, fmt.Sprintf("reason %d does not exist", wire.ReasonCount))
+	assert.Equal(t, fmt.Sprint(bad), fmt.Sprint(calls.Relay{}))
 	r.tb[0].HandleRelay(r.now, r.tb[1].Self, m, &r.out)
 	got := r.sends()
 	assert.Equal(t, got[0].Target, wire.ToPeer)
--- a/pkg/calls/relay.go
+++ b/pkg/calls/relay.go
@@ -31,6 +31,9 @@
 	Caller, Service, Via netip.AddrPort
 }
 
+// Check refuses a relay whose frame no caller could have sent.
+func (m *Relay) Check() error { return m.Frame.Check() }
+
 // RelayAck acknowledges a Relay.
 type RelayAck struct {
 	_   struct{} `cbor:",toarray"`
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -104,7 +104,7 @@
 	if err != nil {
 		err = &DecodeError{ReasonMalformed, err}
 	} else {
-		err = f.check()
+		err = f.Check()
 	}
 	if err != nil {
 		*f = old
@@ -112,7 +112,8 @@
 	return err
 }
 
-func (f *Frame) check() error {
+// Check reports the first field that is out of range as a *DecodeError.
+func (f *Frame) Check() error {
 	switch {
 	case f.Kind == 0 || f.Kind >= kindEnd:
 		return &DecodeError{ReasonMalformed, fmt.Errorf("kind %d does not exist", f.Kind)}
--- a/pkg/wire/peer.go
+++ b/pkg/wire/peer.go
@@ -97,10 +97,15 @@
 }
 
 // DecodePeer decodes the body of a control message. A refused body yields the
-// zero value, never a part of the message.
+// zero value, never a part of the message. A type whose fields have ranges
+// implements Check, which refuses the body with an error.
 func DecodePeer[T any](body []byte) (T, error) {
 	var v, zero T
-	if err := peerDec.Unmarshal(body, &v); err != nil {
+	err := peerDec.Unmarshal(body, &v)
+	if c, ok := any(&v).(interface{ Check() error }); ok && err == nil {
+		err = c.Check()
+	}
+	if err != nil {
 		return zero, fmt.Errorf("decode control message: %w", err)
 	}
 	return v, nil
