--- a/pkg/token/token.go
+++ b/pkg/token/token.go
@@ -184,6 +184,9 @@
 	if !ok {
 		return nil, ErrNoKey
 	}
+	if cap(dst)-len(dst) < Size {
+		dst = append(make([]byte, 0, len(dst)+Size), dst...)
+	}
 	start := len(dst)
 	dst = append(dst, typ, id)
 	dst = append(dst, make([]byte, nonceSize)...)
