server: confirm identities less often while the instance is fresh

Cause: every instance probed every server twice a second, which alone took 2.7 KB of the 5 KB that an instance may spend on control in a second. Change: a confirmation lasts three times the identity TTL while the instance is fresh, and ends with freshness; frames still expire within the TTL after they were sent. Three unanswered probes in a row make a server suspect, and an unanswered probe is repeated at the former rate. probeBytesOut counts probes. Ruled out: confirmations that last as long as freshness; they would not show a dead server that only carries flows. A factor of five delays that by 3 s.

--- a/pkg/core/control.go
+++ b/pkg/core/control.go
@@ -231,6 +231,7 @@
 }
 
 func (c *Core) probe(now time.Time) {
+	c.Servers.SetFresh(now, !c.Fresh.CrossUntil(now).IsZero())
 	c.probes = c.Servers.Probes(now, c.probes[:0])
 	fresh := now.Before(c.Fresh.CrossUntil(now))
 	for _, p := range c.probes {
--- a/pkg/daemon/counter.go
+++ b/pkg/daemon/counter.go
@@ -4,8 +4,9 @@
 
 // Counters count what the shell does.
 type Counters struct {
-	// PeerBytesIn and PeerBytesOut are the bytes of control datagrams.
-	PeerBytesIn, PeerBytesOut atomic.Uint64
+	// PeerBytesIn and PeerBytesOut are the bytes of control datagrams between
+	// instances, ProbeBytesOut those of probes to backend servers.
+	PeerBytesIn, PeerBytesOut, ProbeBytesOut atomic.Uint64
 	// Pulls, PullErrors, Reads and ReadErrors count exchanges of settings
 	// with peers and with the object API.
 	Pulls, PullErrors, Reads, ReadErrors atomic.Uint64
@@ -18,7 +19,7 @@
 // Map returns the counters by name.
 func (c *Counters) Map() map[string]uint64 {
 	return map[string]uint64{
-		"peerBytesIn": c.PeerBytesIn.Load(), "peerBytesOut": c.PeerBytesOut.Load(),
+		"peerBytesIn": c.PeerBytesIn.Load(), "peerBytesOut": c.PeerBytesOut.Load(), "probeBytesOut": c.ProbeBytesOut.Load(),
 		"pulls": c.Pulls.Load(), "pullErrors": c.PullErrors.Load(),
 		"reads": c.Reads.Load(), "readErrors": c.ReadErrors.Load(),
 		"settingsRefused": c.SettingsRefused.Load(), "settingsRegressed": c.SettingsRegressed.Load(),
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -245,6 +245,9 @@
 	if err != nil {
 		return err
 	}
+	if s.Packet.Frame.Kind == wire.KindProbe {
+		d.Counters.ProbeBytesOut.Add(uint64(len(b)))
+	}
 	_, err = d.data.WriteToUDPAddrPort(b, s.To)
 	return err
 }
--- a/pkg/server/heard.go
+++ b/pkg/server/heard.go
@@ -46,8 +46,8 @@
 		r.confirmed = time.Time{}
 		return false
 	}
-	r.confirmed, r.timeouts = now, 0
-	r.schedule(now, t.Rand.Float64())
+	r.confirmed, r.timeouts, r.unheard = now, 0, 0
+	t.schedule(now, r)
 	t.observe(now, r, f, latency)
 	if r.state == StateSuspect && f.Kind == wire.KindProbed {
 		t.recover(r)
@@ -149,17 +149,28 @@
 		return
 	}
 	r.timeouts++
-	if r.timeouts >= maxTimeouts && t.machine.fire(r, eventDoubt) {
+	if r.timeouts >= maxTimeouts {
+		t.doubt(now, r)
+	}
+}
+
+func (t *Table) doubt(now time.Time, r *row) {
+	if t.machine.fire(r, eventDoubt) {
 		t.Suspected++
 		r.probeAt = now
 	}
 }
 
 // schedule sets the next probe between half of the interval and the interval
-// from now, which spreads the probes of many instances.
-func (r *row) schedule(now time.Time, jitter float64) {
-	every := r.limits.IdentityTTL / probeShare
-	r.probeAt = now.Add(every/2 + time.Duration(jitter*float64(every/2)))
+// from now, which spreads the probes of many instances. While a probe is
+// unanswered the interval is that of an instance that is not fresh, so that a
+// dead server is found within seconds.
+func (t *Table) schedule(now time.Time, r *row) {
+	every := t.confirmation(r) / probeShare
+	if r.unheard > 0 {
+		every = r.limits.IdentityTTL / probeShare
+	}
+	r.probeAt = now.Add(every/2 + time.Duration(t.Rand.Float64()*float64(every/2)))
 }
 
 // Probes appends the probes that are due to dst. Leaving servers are probed
@@ -170,7 +181,11 @@
 		if r.out || now.Before(r.probeAt) {
 			continue
 		}
-		r.schedule(now, t.Rand.Float64())
+		if r.unheard >= maxTimeouts {
+			t.doubt(now, r)
+		}
+		r.unheard++
+		t.schedule(now, r)
 		dst = append(dst, Probe{Server: r.id, Service: r.service, Generation: r.generation, Addr: r.addr})
 	}
 	return dst
--- a/pkg/server/table.go
+++ b/pkg/server/table.go
@@ -18,6 +18,9 @@
 type Table struct {
 	// Rand spreads the probes over time.
 	Rand *rand.Rand
+	// Fresh says that this instance knows the settings of the last seconds.
+	// Set it with SetFresh.
+	Fresh bool
 
 	// Falls counts detected falls into cold start, Mismatches frames whose
 	// identity was not the expected one, Suspected servers that stopped
@@ -48,6 +51,7 @@
 	answers   int       // successful answers in the stage
 	confirmed time.Time
 	timeouts  int
+	unheard   int // probes since the server was last heard
 	probeAt   time.Time
 	latency   time.Duration // moving average of answers
 	steps     int           // answers in a row at four times the average
@@ -183,15 +187,44 @@
 	r.latency = 0
 }
 
-// Confirmed returns the time until which the identity of a server is
-// confirmed, and whether that time has not passed. No frame may reach the
-// server's address later without a new confirmation.
+// freshFactor is by how much a confirmation lasts longer while this instance is
+// fresh. An address that serves another service was removed from the settings
+// at least the quarantine of 10 s before, which a fresh instance knows; the
+// identity TTL alone protects an instance that may not know.
+const freshFactor = 3
+
+// SetFresh tells whether this instance is fresh. When it no longer is, older
+// confirmations end, and every server is probed at once.
+func (t *Table) SetFresh(now time.Time, fresh bool) {
+	if t.Fresh && !fresh {
+		for _, r := range t.order {
+			r.probeAt = now
+		}
+	}
+	t.Fresh = fresh
+}
+
+// confirmation returns how long a confirmation lasts.
+func (t *Table) confirmation(r *row) time.Duration {
+	if t.Fresh {
+		return freshFactor * r.limits.IdentityTTL
+	}
+	return r.limits.IdentityTTL
+}
+
+// Confirmed returns the time until which a frame that is sent at now may
+// arrive at a server, and whether its identity is confirmed. The time is at
+// most the identity TTL ahead, since a paused instance does not notice that it
+// is no longer fresh.
 func (t *Table) Confirmed(now time.Time, id conf.ServerID) (time.Time, bool) {
 	r := t.rows[id]
 	if r == nil || r.confirmed.IsZero() {
 		return time.Time{}, false
 	}
-	until := r.confirmed.Add(r.limits.IdentityTTL)
+	until := r.confirmed.Add(t.confirmation(r))
+	if latest := now.Add(r.limits.IdentityTTL); latest.Before(until) {
+		until = latest
+	}
 	return until, now.Before(until)
 }
 
--- a/pkg/server/table_test.go
+++ b/pkg/server/table_test.go
@@ -180,3 +180,50 @@
 		})
 	}
 }
+
+// Guards against probes that take most of the control traffic while the
+// settings are known, and against confirmations that outlive that knowledge.
+func TestFreshConfirmations(t *testing.T) {
+	heard := func(tb *Table, now time.Time) {
+		tb.Heard(now, addr(1), &wire.Frame{Kind: wire.KindProbed, Service: 7, Server: 1, Generation: 1, Boot: 1}, 0)
+	}
+	probes := func(fresh bool) (n int) {
+		tb := newTable(1)
+		tb.SetFresh(epoch0, fresh)
+		for at := time.Duration(0); at < time.Minute; at += 20 * time.Millisecond {
+			if due := tb.Probes(epoch0.Add(at), nil); len(due) > 0 {
+				heard(tb, epoch0.Add(at))
+				n++
+			}
+		}
+		return n
+	}
+	t.Run("rate", func(t *testing.T) {
+		fresh, stale := probes(true), probes(false)
+		assert.Assert(t, fresh <= 60 && fresh*5 < stale*2, "%d and %d probes in a minute", fresh, stale)
+	})
+	t.Run("end", func(t *testing.T) {
+		tb := newTable(1)
+		tb.SetFresh(epoch0, true)
+		heard(tb, epoch0)
+		now := epoch0.Add(3 * time.Second)
+		until, ok := tb.Confirmed(now, 1)
+		assert.Assert(t, ok)
+		assert.Equal(t, until, now.Add(2*time.Second))
+		tb.Probes(now, nil)
+		heard(tb, epoch0)
+		tb.SetFresh(now, false)
+		_, ok = tb.Confirmed(now, 1)
+		assert.Assert(t, !ok)
+		assert.Equal(t, len(tb.Probes(now, nil)), 1)
+	})
+	t.Run("dead server", func(t *testing.T) {
+		tb := newTable(1)
+		tb.SetFresh(epoch0, true)
+		heard(tb, epoch0)
+		for at := time.Duration(0); at < 5*time.Second; at += 20 * time.Millisecond {
+			tb.Probes(epoch0.Add(at), nil)
+		}
+		assert.Equal(t, tb.State(1), StateSuspect)
+	})
+}
