server: count the cold time from the first contact

Cause: TestScenarios/lateServer found a second request at a cold server 8 s after its start, while coldTime is 10 s. The stage began when the settings named the server, which was long before its process started, so the first 8 answers ended it. Change: the first boot identifier that an instance learns, itself or from a peer, begins the stage anew, as a changed one does. Ruled out: requests that outlive their epoch; the server stops them. Conclusion: the cold time starts no earlier than the server process is seen.

--- a/pkg/server/heard.go
+++ b/pkg/server/heard.go
@@ -69,7 +69,11 @@
 		r.boot, r.falls = f.Boot, 0
 		if known {
 			t.fall(now, r)
+			break
 		}
+		// The server may have started just now, so its cold time counts from
+		// here and not from the time at which the settings named it.
+		t.reset(now, r)
 	case f.Has(wire.FlagCold):
 		if r.stage > 0 || r.state == StateWarm {
 			r.falls++
--- a/pkg/server/update.go
+++ b/pkg/server/update.go
@@ -93,10 +93,10 @@
 	case u.Boot != r.boot || u.Falls > r.falls:
 		fell := r.boot != 0
 		r.boot, r.falls = u.Boot, u.Falls
+		t.reset(now, r)
 		if fell {
 			t.Falls++
 			t.machine.fire(r, eventFall)
-			t.reset(now, r)
 			t.report(r)
 		}
 	}
