server, core: trust nothing that waited during a pause

Cause: TestFaults/pause+serverDeath found requests for a warm server at a server that had restarted cold. The instance was paused meanwhile. Answers of the old process waited in its socket, and when it went on they confirmed the server as of now. The same holds for the identity of an address. Change: the core takes more than 200 ms between two calls, or a step back of the clock, for a pause. After it every server is unconfirmed until it answers a probe that carries the new era, which servers repeat as the attempt. Ruled out: pairing every probe with its answer, since frames of traffic then would confirm nothing and each server would get three probes a second from every instance. Conclusion: a pause ends what an instance knew of its servers.

--- a/pkg/core/caller.go
+++ b/pkg/core/caller.go
@@ -13,7 +13,7 @@
 // HandleCaller decides what happens to a frame from a caller. The result is
 // valid until the next call.
 func (c *Core) HandleCaller(now time.Time, p *wire.Packet) []wire.Send {
-	c.out.Reset()
+	c.enter(now)
 	c.lastPkt = now
 	c.via[p.Service] = p.Via
 	switch p.Frame.Kind {
--- a/pkg/core/control.go
+++ b/pkg/core/control.go
@@ -22,6 +22,9 @@
 	stagesEvery = time.Second
 	stagePeers  = 2
 	maxUrgent   = 32
+	// maxGap is the longest time between two calls that is not taken for a
+	// pause of the process. It covers several ticks of the daemon.
+	maxGap = 200 * time.Millisecond
 	// membersEvery is the interval at which the views of members are renewed.
 	membersEvery = 200 * time.Millisecond
 )
@@ -125,7 +128,7 @@
 // HandlePeer takes a control message of another instance. The result is valid
 // until the next call.
 func (c *Core) HandlePeer(now time.Time, from netip.AddrPort, kind wire.PeerKind, body []byte) []wire.Send {
-	c.out.Reset()
+	c.enter(now)
 	var err error
 	switch kind {
 	case wire.PeerHeartbeat:
@@ -162,6 +165,16 @@
 	return c.out.Sends
 }
 
+// enter begins a call. After a pause the datagrams that are handled next are of
+// unknown age, and what they confirm of servers does not count.
+func (c *Core) enter(now time.Time) {
+	c.out.Reset()
+	if gap := now.Sub(c.entered); gap > maxGap || gap < -maxGap {
+		c.Servers.Paused(now)
+	}
+	c.entered = now
+}
+
 // handle decodes a body and passes it on.
 func handle[T any](body []byte, f func(T)) error {
 	v, err := wire.DecodePeer[T](body)
@@ -181,7 +194,7 @@
 // Tick runs the systems over the tables. The result is valid until the next
 // call.
 func (c *Core) Tick(now time.Time) []wire.Send {
-	c.out.Reset()
+	c.enter(now)
 	c.Members.Tick(now, &c.out)
 	c.viewMembers(now)
 	if c.snap != nil {
@@ -239,7 +252,7 @@
 			continue
 		}
 		q := wire.Packet{Caller: c.Entry.Data, Service: c.Entry.Data}
-		q.Frame = wire.Frame{Kind: wire.KindProbe, Service: p.Service, Server: p.Server, Generation: p.Generation}
+		q.Frame = wire.Frame{Kind: wire.KindProbe, Service: p.Service, Server: p.Server, Generation: p.Generation, Attempt: p.Era}
 		q.Frame.SetDeadline(now.Add(time.Second))
 		c.out.Server(p.Addr, &q)
 	}
--- a/pkg/core/core.go
+++ b/pkg/core/core.go
@@ -76,6 +76,7 @@
 	ctl     control
 	leaving bool
 	lastPkt time.Time
+	entered time.Time // start of the latest call
 }
 
 // target is where the frames of a server go.
@@ -96,6 +97,7 @@
 func (c *Core) Start(now time.Time) {
 	c.rnd = rand.New(rand.NewPCG(c.Seed, uint64(now.UnixNano())))
 	c.box = &token.Box{Rand: c.Nonces}
+	c.entered = now
 	c.via = map[netip.AddrPort]netip.AddrPort{}
 	if c.Stats == nil {
 		c.Stats = &stats.Counters{}
--- a/pkg/core/server.go
+++ b/pkg/core/server.go
@@ -10,7 +10,7 @@
 // HandleServer takes a frame that came from a backend server's address. The
 // result is valid until the next call.
 func (c *Core) HandleServer(now time.Time, from netip.AddrPort, p *wire.Packet) []wire.Send {
-	c.out.Reset()
+	c.enter(now)
 	f := &p.Frame
 	if !c.Servers.Heard(now, from, f, 0) {
 		c.Stats.Dropped.Add(wire.ReasonUnconfirmed)
--- a/pkg/server/heard.go
+++ b/pkg/server/heard.go
@@ -30,6 +30,8 @@
 	Service    conf.ServiceID
 	Generation uint32
 	Addr       netip.AddrPort
+	// Era is to be sent as the attempt of the probe.
+	Era uint32
 }
 
 // Heard takes a frame that came from a server's address. latency is the time
@@ -46,6 +48,12 @@
 		r.confirmed = time.Time{}
 		return false
 	}
+	if r.era != t.era {
+		if f.Kind != wire.KindProbed || f.Attempt != t.era {
+			return true // It may have waited while this process was paused.
+		}
+		r.era = t.era
+	}
 	r.confirmed, r.timeouts = now, 0
 	r.schedule(now, t.Rand.Float64())
 	t.observe(now, r, f, latency)
@@ -175,7 +183,7 @@
 			continue
 		}
 		r.schedule(now, t.Rand.Float64())
-		dst = append(dst, Probe{Server: r.id, Service: r.service, Generation: r.generation, Addr: r.addr})
+		dst = append(dst, Probe{Server: r.id, Service: r.service, Generation: r.generation, Addr: r.addr, Era: t.era})
 	}
 	return dst
 }
--- a/pkg/server/table.go
+++ b/pkg/server/table.go
@@ -29,6 +29,8 @@
 	order   []*row
 	changed []conf.ServerID
 	next    int
+	// era changes with every pause; probes carry it and servers repeat it.
+	era uint32
 }
 
 type row struct {
@@ -45,6 +47,7 @@
 	since     time.Time // start of the stage
 	answers   int       // successful answers in the stage
 	confirmed time.Time
+	era       uint32 // of the last confirmation
 	timeouts  int
 	probeAt   time.Time
 	latency   time.Duration // moving average of answers
@@ -108,6 +111,16 @@
 	return ok && d.Mark == conf.MarkOut
 }
 
+// Paused tells that the process did not run for a while until now. Frames that
+// waited in its socket meanwhile say nothing of the servers at now, so every
+// server must answer a probe that is sent from now on.
+func (t *Table) Paused(now time.Time) {
+	t.era = max(1, t.Rand.Uint32())
+	for _, r := range t.rows {
+		r.confirmed, r.probeAt = time.Time{}, now
+	}
+}
+
 // index rebuilds the probe order and the index by address.
 func (t *Table) index() {
 	t.addrs = make(map[netip.AddrPort]*row, len(t.rows))
--- a/pkg/wire/frame.go
+++ b/pkg/wire/frame.go
@@ -95,7 +95,8 @@
 	// ID is the request the frame belongs to.
 	ID RequestID
 	// Attempt numbers the tries of one request, so that late answers of an
-	// earlier try are told apart. Callers leave it zero.
+	// earlier try are told apart. Callers leave it zero. Servers repeat the
+	// attempt of a probe in their answer.
 	Attempt uint32
 	// Part and Parts number the pieces of an answer; Part starts at 0.
 	Part, Parts uint16
