--- a/emul/proof/caller_test.go
+++ b/emul/proof/caller_test.go
@@ -86,8 +86,11 @@
 		w.spray(fl.packet(wire.KindOpen))
 	case fl.excused(w):
 		if w.now.Sub(fl.heard) > time.Second {
+			w.score.given++
 			fl.renew(w)
+			return
 		}
+		w.spray(fl.packet(wire.KindData))
 	default:
 		if !fl.servable(w) {
 			fl.heard = w.now
@@ -124,13 +127,16 @@
 			fl.seq, fl.heard = fl.seq+1, w.now
 		}
 	case wire.KindClosed:
-		if fl.opened && !fl.excused(w) {
-			w.fault("flow %x on server %s closed: %s", fl.id, fl.host.name, f.Reason)
+		if !fl.opened {
+			return
 		}
-		if fl.opened {
+		if fl.excused(w) {
+			w.score.given++
+		} else {
+			w.fault("flow %x on server %s closed: %s", fl.id, fl.host.name, f.Reason)
 			w.score.broken++
-			fl.renew(w)
 		}
+		fl.renew(w)
 	}
 }
 
@@ -192,6 +198,17 @@
 	w.spray(wire.Packet{Caller: r.caller, Service: r.service, Frame: f})
 }
 
+// use sends the request with its ticket, which the caller may have kept.
+func (r *request) use(w *world) {
+	if w.hold == 0 {
+		r.send(w)
+		return
+	}
+	wait := w.between(0, w.hold)
+	r.sent, r.deadline = w.now.Add(wait), r.deadline.Add(wait)
+	w.after(wait, func() { r.send(w) })
+}
+
 func (r *request) step(w *world) {
 	switch {
 	case w.now.After(r.deadline.Add(calls.CallerGrace)):
@@ -217,7 +234,7 @@
 		// The network may double this refusal, so a second one says nothing.
 		if r.once && r.ticket == nil && len(f.Token) > 0 {
 			r.ticket = f.Token
-			r.send(w)
+			r.use(w)
 		}
 	case r.once && r.ticket != nil && f.Outcome == wire.OutcomeNotRun && bytes.Equal(f.Token, r.ticket):
 		r.reason = f.Reason
--- a/emul/proof/fault_test.go
+++ b/emul/proof/fault_test.go
@@ -51,6 +51,16 @@
 		w.cut[d] = true
 		w.after(w.between(time.Second, 10*time.Second), func() { delete(w.cut, d) })
 	}},
+	{"controlPartition", func(w *world) {
+		d := domains[w.rnd.IntN(len(domains))]
+		w.mute[d] = true
+		w.after(w.between(time.Second, 10*time.Second), func() { delete(w.mute, d) })
+	}},
+	{"platformPartition", func(w *world) {
+		d := domains[w.rnd.IntN(len(domains))]
+		w.away[d] = true
+		w.after(w.between(time.Second, 10*time.Second), func() { delete(w.away, d) })
+	}},
 	{"outage", func(w *world) {
 		w.plat.down = true
 		w.after(w.between(4*time.Second, 15*time.Second), func() { w.plat.down = false })
@@ -118,10 +128,25 @@
 	}
 }
 
+// pause stops a process for a while. With beforeSend, what it decided in the
+// last 300 ms leaves only after the pause.
 func (w *world) pause(in *inst, beforeSend bool) {
-	in.freeze, in.paused = beforeSend, !beforeSend
+	if !in.up || in.paused || in.freeze {
+		return
+	}
+	process := in.process
+	stop := func() {
+		if in.process == process && in.up {
+			in.freeze, in.paused = false, true
+		}
+	}
+	if in.freeze = beforeSend; beforeSend {
+		w.after(300*time.Millisecond, stop)
+	} else {
+		stop()
+	}
 	w.after(w.between(500*time.Millisecond, 15*time.Second), func() {
-		if in.freeze = false; in.paused {
+		if in.process == process && in.paused {
 			in.resume()
 		}
 	})
@@ -164,18 +189,13 @@
 	w.after(2*time.Second, func() { h.gone = true })
 	var reuse func()
 	reuse = func() {
-		next := conf.Server{
-			ID: conf.ServerID(100 + len(w.all)), Name: fmt.Sprintf("%s-n%d", h.domain, len(w.all)), Service: "/h/intake", Domain: h.domain,
-			Addr: h.Addr, Generation: 1, Mark: conf.MarkIn, Since: w.now,
+		service := "/h/intake"
+		if rec.Service == service {
+			service = "/h/order"
 		}
-		if rec.Service == next.Service {
-			next.Service = "/h/order"
-		}
-		if !w.plat.edit(func(s *conf.Snapshot) { s.Servers[next.Name] = next }) {
+		if !w.plat.addServer(h.domain, service, h.Addr) {
 			w.after(time.Second, reuse)
-			return
 		}
-		w.addHost(next)
 	}
 	w.after(conf.Quarantine+time.Millisecond, reuse)
 }
--- a/emul/proof/inst_test.go
+++ b/emul/proof/inst_test.go
@@ -38,7 +38,7 @@
 	asked   time.Time
 
 	paused bool
-	freeze bool // pauses after the next decision, before its sends
+	freeze bool // about to be paused; what it sends now leaves after the pause
 	inbox  []func()
 }
 
@@ -115,7 +115,7 @@
 }
 
 func (in *inst) tick() {
-	if in.paused || in.w.cut[in.domain] || in.skew != 0 {
+	if in.paused || in.w.cut[in.domain] || in.w.mute[in.domain] || in.skew != 0 {
 		in.rough = in.w.now
 	}
 	if !in.paused {
@@ -132,8 +132,7 @@
 			out = append(out, f)
 		}
 	}
-	if in.freeze && len(out) > 0 {
-		in.freeze, in.paused = false, true
+	if in.freeze {
 		in.inbox = append(in.inbox, out...)
 		return
 	}
@@ -178,7 +177,7 @@
 
 func (in *inst) toPeer(to netip.AddrPort, b []byte) {
 	for _, o := range in.w.insts {
-		if o.entry.Peer == to {
+		if o.entry.Peer == to && in.w.talks(in.domain, o.domain) {
 			in.w.transmit(in.domain, o.domain, true, func() { o.peer(in.entry.Peer, b) })
 		}
 	}
@@ -228,7 +227,7 @@
 
 func (in *inst) pull(which func(*inst) bool) {
 	for _, o := range in.w.insts {
-		if o == in || !o.up || o.paused || !which(o) || !in.w.linked(in.domain, o.domain) {
+		if o == in || !o.up || o.paused || !which(o) || !in.w.talks(in.domain, o.domain) {
 			continue
 		}
 		d, ok := o.core.Replica.Delta(in.core.Replica.Rev())
--- a/emul/proof/platform_test.go
+++ b/emul/proof/platform_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
+	"net/netip"
 	"time"
 
 	"ebonypaddle/pkg/conf"
@@ -94,7 +96,7 @@
 // read returns what a replica holds now, and false during an outage or when
 // the answer is lost.
 func (p *platform) read(domain string) (*conf.Snapshot, bool) {
-	if p.down || !p.w.linked(domain, "") || p.w.rnd.Float64() < p.lost {
+	if p.down || p.w.away[domain] || !p.w.talks(domain, "") || p.w.rnd.Float64() < p.lost {
 		return nil, false
 	}
 	i := len(p.snaps) - 1
@@ -107,6 +109,20 @@
 	return p.snaps[i], true
 }
 
+// addServer accepts a new server and starts it, and reports whether it could.
+func (p *platform) addServer(domain, service string, at netip.AddrPort) bool {
+	n := len(p.w.all)
+	s := conf.Server{
+		ID: conf.ServerID(100 + n), Name: fmt.Sprintf("%s-n%d", domain, n), Service: service, Domain: domain,
+		Addr: at, Generation: 1, Mark: conf.MarkIn, Since: p.w.now,
+	}
+	if !p.edit(func(next *conf.Snapshot) { next.Servers[s.Name] = s }) {
+		return false
+	}
+	p.w.addHost(s)
+	return true
+}
+
 func (p *platform) markDomain(name string, m conf.Mark) {
 	p.edit(func(s *conf.Snapshot) {
 		d := s.Domains[name]
--- a/emul/proof/proof_test.go
+++ b/emul/proof/proof_test.go
@@ -84,10 +84,19 @@
 	}
 }
 
+// longCold makes a server and the settings stay cold for long, with answers
+// that take much of an epoch.
+func (w *world) longCold(h *host) {
+	h.ColdTime, h.ColdFactor = conf.Duration(10*time.Second), 15
+	w.plat.edit(func(s *conf.Snapshot) {
+		s.Nodes["/h"] = conf.Node{Path: "/h", Values: conf.Values{ColdTime: &h.ColdTime}}
+	})
+}
+
 var scenarios = []scenario{
 	// A planned stop of every instance in turn cuts no request and no flow.
 	{"rolling", func(w *world) {
-		w.loss = 0
+		w.loss, w.hold = 0, 20*time.Second
 		w.run(3 * time.Second)
 		before := w.score
 		for _, in := range w.insts {
@@ -143,12 +152,12 @@
 	// A failure domain goes out and comes back, while an instance of another
 	// one is cut off and one is paused.
 	{"outWhileCut", func(w *world) {
-		w.cut["c"] = true
+		w.mute["c"] = true
 		w.pause(w.instsOf("b", false)[0], true)
 		w.run(time.Duration(w.rnd.Int64N(int64(3 * time.Second))))
 		w.plat.markDomain("a", conf.MarkOut)
 		w.run(12 * time.Second)
-		delete(w.cut, "c")
+		delete(w.mute, "c")
 		w.run(3 * time.Second)
 		w.domainIn("a")
 		w.run(15 * time.Second)
@@ -167,10 +176,7 @@
 		w.rate = 20
 		h := w.all[0]
 		h.died, h.gone = w.now, true
-		h.ColdTime = conf.Duration(10 * time.Second)
-		w.plat.edit(func(s *conf.Snapshot) {
-			s.Nodes["/h"] = conf.Node{Path: "/h", Values: conf.Values{ColdTime: &h.ColdTime}}
-		})
+		w.longCold(h)
 		w.run(5 * time.Second)
 		for _, in := range w.insts {
 			in.stop()
@@ -181,6 +187,30 @@
 		h.Start(w.now)
 		w.run(12 * time.Second)
 	}},
+	// A server restarts cold while the clocks of two instances are wrong.
+	{"coldWithSkew", func(w *world) {
+		w.rate = 20
+		h := w.all[0]
+		w.insts[2].skew, w.insts[4].skew = 700*time.Millisecond, -700*time.Millisecond
+		w.longCold(h)
+		w.run(8 * time.Second)
+		h.died = w.now
+		h.FallOver(w.now)
+		w.run(15 * time.Second)
+	}},
+	// A server joins while one failure domain does not hear of it.
+	{"joinUneven", func(w *world) {
+		w.mute["c"] = true
+		w.run(200 * time.Millisecond)
+		w.plat.addServer("a", "/h/order", addr(4, 99))
+		for range 30 {
+			w.addFlows(4, false)
+			w.run(100 * time.Millisecond)
+		}
+		delete(w.mute, "c")
+		w.run(10 * time.Second)
+		w.expect(w.score.broken == 0, "%d flows broke", w.score.broken)
+	}},
 	// Every instance restarts at once.
 	{"restartAll", func(w *world) {
 		for _, in := range w.insts {
--- a/emul/proof/world_test.go
+++ b/emul/proof/world_test.go
@@ -89,18 +89,27 @@
 	reqs  map[wire.RequestID]*request
 	over  []*request
 	cut   map[string]bool // failure domains without a link to the others
-	loss  float64
-	rate  int // requests in 100 ms
+	// mute holds failure domains that hear neither the platform nor other
+	// instances although their packets reach all servers.
+	mute map[string]bool
+	// away holds failure domains that the platform cannot be reached from.
+	away map[string]bool
+	// hold is how long callers keep a ticket before they use it, at most.
+	hold time.Duration
+	loss float64
+	rate int // requests in 100 ms
 	// taps see datagrams of a caller, and of instances, for replay.
 	frames, peers [][]byte
 	bad           []string
 	score         score
 }
 
-// score counts what happened, each by second of virtual time when asked for.
+// score counts what happened.
 type score struct {
-	opened, broken, done, notRun, unknown, refused, edits int
-	reached                                               int // frames checked at servers
+	opened, done, notRun, unknown, edits int
+	// broken counts flows that should have gone on, given those that operators
+	// or the death of a server ended, reached frames that servers got.
+	broken, given, reached int
 }
 
 func (w *world) fault(format string, args ...any) {
@@ -132,6 +141,11 @@
 // and the platform have the domain "".
 func (w *world) linked(a, b string) bool { return a == b || !w.cut[a] && !w.cut[b] }
 
+// talks reports whether control messages pass between two failure domains.
+func (w *world) talks(a, b string) bool {
+	return w.linked(a, b) && (a == b || !w.mute[a] && !w.mute[b])
+}
+
 // transmit carries one datagram with loss, delay, reordering and, if twice,
 // duplication.
 func (w *world) transmit(from, to string, twice bool, do func()) {
@@ -239,7 +253,7 @@
 func newWorld(t testing.TB, seed uint64) *world {
 	w := &world{
 		t: t, now: begin, rnd: rand.New(rand.NewPCG(seed, 77)), hosts: map[netip.AddrPort]*host{},
-		reqs: map[wire.RequestID]*request{}, cut: map[string]bool{}, loss: 0.01, rate: 4,
+		reqs: map[wire.RequestID]*request{}, cut: map[string]bool{}, mute: map[string]bool{}, away: map[string]bool{}, loss: 0.01, rate: 4,
 	}
 	w.plat.w = w
 	w.plat.snaps = []*conf.Snapshot{settings(w)}
