emul/proof: join, skew and pause scenarios that notice each mechanism

Cause: four of the mechanisms that were disabled one at a time went unnoticed, because the faults met them too rarely. Change: eight servers join at once, four clocks are wrong, a caller goes on with a flow that is over, and instances are paused while the servers of their failure domain restart. The caller's rules say that a doubled ticketNeeded is ignored, and a test of the load tool covers the token of a second server.

--- a/emul/caller/caller_test.go
+++ b/emul/caller/caller_test.go
@@ -141,6 +141,8 @@
 	assert.Equal(t, fl.frame(time.Second).Kind, wire.KindOpen)
 	in(wire.KindOpened, "a", nil)
 	in(wire.KindOpened, "b", nil)
+	// A repeated open frame reached another server, whose token must not count.
+	fl.receive(now, &wire.Frame{Kind: wire.KindOpened, Token: []byte("c"), Server: 9})
 	for range 3 {
 		assert.Equal(t, string(fl.frame(0).Token), "b")
 	}
--- a/emul/proof/caller_test.go
+++ b/emul/proof/caller_test.go
@@ -110,6 +110,7 @@
 		fl.opened, fl.began, fl.heard = true, w.now, w.now
 		if fl.host = w.hostOf(f); fl.host == nil {
 			w.fault("flow %x opened on unknown server %d", fl.id, f.Server)
+			fl.renew(w)
 			return
 		}
 		w.score.opened++
--- a/emul/proof/proof_test.go
+++ b/emul/proof/proof_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"ebonypaddle/pkg/conf"
+	"ebonypaddle/pkg/wire"
 )
 
 // seeds returns the fixed seeds, or those that start at PROOF_SEED and are
@@ -78,6 +79,20 @@
 	return out
 }
 
+// frameOn returns a data frame of a flow on the server.
+func (w *world) frameOn(h *host) []byte {
+	for _, fl := range w.flows {
+		if fl.host == h && fl.opened {
+			p := fl.packet(wire.KindData)
+			b, err := wire.Encode(&p)
+			w.expect(err == nil, "encode: %v", err)
+			return b
+		}
+	}
+	w.fault("no flow on server %s", h.name)
+	return nil
+}
+
 func (w *world) expect(ok bool, format string, args ...any) {
 	if !ok {
 		w.fault(format, args...)
@@ -140,12 +155,20 @@
 	// An address moves to the other service while an instance is cut off with
 	// old settings, and while another one is paused.
 	{"moveWhileCut", func(w *world) {
-		h := w.all[w.rnd.IntN(len(w.all))]
+		h := w.all[w.rnd.IntN(3)]
+		w.addFlows(40, false)
+		w.run(3 * time.Second)
+		old := w.frameOn(h)
 		w.cut[h.domain] = true
 		w.run(time.Second)
 		w.move(h)
 		w.pause(w.instsOf(h.domain, true)[0], true)
-		w.run(15 * time.Second)
+		for range 150 { // A caller that has not heard that its flow is over.
+			w.run(100 * time.Millisecond)
+			for _, in := range w.instsOf(h.domain, false) {
+				in.data(fabric, old)
+			}
+		}
 		delete(w.cut, h.domain)
 		w.run(15 * time.Second)
 	}},
@@ -187,22 +210,42 @@
 		h.Start(w.now)
 		w.run(12 * time.Second)
 	}},
-	// A server restarts cold while the clocks of two instances are wrong.
+	// A server restarts cold while the clocks of two failure domains are wrong.
 	{"coldWithSkew", func(w *world) {
 		w.rate = 20
 		h := w.all[0]
-		w.insts[2].skew, w.insts[4].skew = 700*time.Millisecond, -700*time.Millisecond
+		for i, in := range w.instsOf("a", true) {
+			in.skew = time.Duration(1-i/2*2) * 700 * time.Millisecond
+		}
 		w.longCold(h)
 		w.run(8 * time.Second)
 		h.died = w.now
 		h.FallOver(w.now)
 		w.run(15 * time.Second)
 	}},
-	// A server joins while one failure domain does not hear of it.
+	// Instances are paused while servers of their failure domain restart; answers
+	// of the old processes wait in their sockets.
+	{"pauseOverRestart", func(w *world) {
+		w.loss, w.rate = 0.1, 40
+		w.run(3 * time.Second)
+		for _, in := range w.instsOf("a", false) {
+			in.paused = true
+			w.after(5*time.Second, in.resume)
+		}
+		w.run(250 * time.Millisecond)
+		for _, h := range w.all[:3] {
+			h.died = w.now
+			h.FallOver(w.now)
+		}
+		w.run(10 * time.Second)
+	}},
+	// Servers join while one failure domain does not hear of them.
 	{"joinUneven", func(w *world) {
 		w.mute["c"] = true
 		w.run(200 * time.Millisecond)
-		w.plat.addServer("a", "/h/order", addr(4, 99))
+		for i := range 8 {
+			w.plat.addServer(domains[i%2], "/h/order", addr(4, 90+i))
+		}
 		for range 30 {
 			w.addFlows(4, false)
 			w.run(100 * time.Millisecond)
--- a/pkg/calls/doc.go
+++ b/pkg/calls/doc.go
@@ -45,7 +45,8 @@
 //   - It draws a random identifier for each request, and a new one after every
 //     final notRun. One identifier is used with one ticket.
 //   - It takes the ticket of the first ticketNeeded refusal and ignores every
-//     later refusal that does not repeat this ticket. Before that, stopping and
+//     later refusal that does not repeat this ticket, and every later
+//     ticketNeeded: the network may double the first. Before that, stopping and
 //     tableFull are final only if it sends no further frame.
 //   - It repeats the identical frame, with the ticket and the remaining
 //     Timeout, through any instance until it has a final outcome. Done, and
