core: seed members in a fixed order

Cause: two runs of one seed of emul/proof differed. The core seeded the members in the order of a map and each takes a random place, so a failing seed could not be run again. Change: failure domains are taken in order of name. TestRepeatable runs one course four times and compares all counts. Ruled out: the order of maps elsewhere in this course; four runs now agree. Conclusion: a seed repeats its run.

--- a/emul/proof/proof_test.go
+++ b/emul/proof/proof_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"ebonypaddle/pkg/conf"
 	"ebonypaddle/pkg/wire"
 )
@@ -278,3 +280,18 @@
 		})
 	}
 }
+
+// TestRepeatable guards against random choices that do not come from the seed,
+// such as the order of a map, which would make a failing seed useless.
+func TestRepeatable(t *testing.T) {
+	var scores [4]score
+	for i := range scores {
+		w := warmed(t, 3)
+		w.move(w.someHost())
+		w.run(20 * time.Second)
+		scores[i] = w.score
+	}
+	for _, s := range scores {
+		assert.Equal(t, s, scores[0])
+	}
+}
--- a/pkg/core/control.go
+++ b/pkg/core/control.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -57,7 +58,9 @@
 // applyControl takes the entry places and times that the exchange needs.
 func (c *Core) applyControl(now time.Time, snap *conf.Snapshot) {
 	var in []string
-	for _, d := range snap.Domains {
+	// Seeds are placed at random, so their order must not be that of a map.
+	for _, name := range slices.Sorted(maps.Keys(snap.Domains)) {
+		d := snap.Domains[name]
 		if d.Half != c.Half {
 			continue
 		}
