server: let the stand-in forget idle flows

Cause: a caller that repeats an open frame can open its flow on two servers and uses only one of them; the other kept it for good. Before a removal, a leaving server still had one flow after 20 s although its callers had closed theirs. Change: servers forget a flow without a packet of its caller for Idle. Ruled out: fewer repeats of open frames, which a lost answer needs.

--- a/emul/cmd/ebonyemu/plan.go
+++ b/emul/cmd/ebonyemu/plan.go
@@ -114,14 +114,19 @@
 			Slots: r.Slots, Queue: r.Slots * (r.QueuePerSlot + 1), Connections: r.Connections,
 			Mean: conf.Duration(mean * time.Duration(speedSteps[i%len(speedSteps)])), Distribution: "exponential",
 			ColdFactor: 3, ColdTime: conf.Duration(r.ColdTime), ColdSlots: r.ColdSlots,
-			Push: conf.Duration(pushEvery),
+			Push: conf.Duration(pushEvery), Idle: conf.Duration(flowIdle),
 		})
 	}
 	return out, nil
 }
 
-// pushEvery is the interval of the feed on open flows.
-const pushEvery = time.Second
+const (
+	// pushEvery is the interval of the feed on open flows.
+	pushEvery = time.Second
+	// flowIdle is many times the interval of keepalives, and above the
+	// silence after which callers give a flow up.
+	flowIdle = 8 * time.Second
+)
 
 func entries(snap *conf.Snapshot) []conf.Entry {
 	var out []conf.Entry
--- a/emul/server/config.go
+++ b/emul/server/config.go
@@ -34,6 +34,9 @@
 	ColdSlots  int           `json:"coldSlots"`
 	ColdMargin int           `json:"coldMargin,omitempty"`
 	DownTime   conf.Duration `json:"downTime,omitempty"`
+	// Idle is the time after which a flow without a packet of its caller is
+	// forgotten; 0 keeps it.
+	Idle conf.Duration `json:"idle,omitempty"`
 	// Push is the interval of the feed to every open flow; 0 turns it off.
 	Push conf.Duration `json:"push,omitempty"`
 }
--- a/emul/server/flow.go
+++ b/emul/server/flow.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"maps"
 	"net/netip"
 	"time"
 
@@ -13,7 +14,7 @@
 	k := flowKey{p.Caller, p.Frame.Flow}
 	fl := h.flows[k]
 	if fl != nil {
-		fl.via, fl.pkt = via, *p
+		fl.via, fl.pkt, fl.heard = via, *p, now
 	}
 	switch p.Frame.Kind {
 	case wire.KindOpen:
@@ -37,11 +38,19 @@
 			h.refuse(now, via, p, wire.ReasonServerShed)
 			return
 		}
-		h.flows[k] = &flow{pkt: *p, via: via, next: now.Add(time.Duration(h.Push))}
+		h.flows[k] = &flow{pkt: *p, via: via, heard: now, next: now.Add(time.Duration(h.Push))}
 	}
 	h.send(now, via, p, wire.Frame{Kind: wire.KindOpened})
 }
 
+// forget drops flows whose callers are silent. A caller that repeats an open
+// frame can leave a second flow behind on another server.
+func (h *Host) forget(now time.Time) {
+	if h.Idle > 0 {
+		maps.DeleteFunc(h.flows, func(_ flowKey, fl *flow) bool { return now.Sub(fl.heard) > time.Duration(h.Idle) })
+	}
+}
+
 // push sends the feed to flows whose interval is over.
 func (h *Host) push(now time.Time) {
 	if h.Push <= 0 {
--- a/emul/server/host.go
+++ b/emul/server/host.go
@@ -27,6 +27,8 @@
 	via  netip.AddrPort
 	seq  uint64
 	next time.Time // of the push feed
+	// heard is when the last packet of the caller came.
+	heard time.Time
 }
 
 // job is an accepted request.
@@ -132,6 +134,7 @@
 		h.answer(now, j)
 		h.startQueued(now, j.end)
 	}
+	h.forget(now)
 	h.push(now)
 	return h.out
 }
--- a/emul/server/host_test.go
+++ b/emul/server/host_test.go
@@ -254,3 +254,14 @@
 	offer(h, warm, 1)
 	assert.Equal(t, h.Report().Misrouted, uint64(1))
 }
+
+// Guards against a flow that its caller left behind and that keeps a leaving
+// server from ever being empty, and against a live flow that is forgotten.
+func TestIdleFlow(t *testing.T) {
+	h := newHost(func(c *server.Config) { c.Idle = conf.Duration(time.Second) })
+	h.Handle(warm, via, packet(wire.KindOpen, 1))
+	h.Handle(warm, via, packet(wire.KindOpen, 2))
+	h.Handle(warm.Add(time.Second), via, packet(wire.KindData, 2))
+	h.Tick(warm.Add(1500 * time.Millisecond))
+	assert.Equal(t, h.Report().Flows, 1)
+}
