ebonyd: stop the handling of signals before the exit

Cause: the linter reports that a deferred stop does not run before os.Exit. Change: main stops it explicitly. Ruled out: an exception for the linter.

--- a/ebonyd/cmd/ebonyd/main.go
+++ b/ebonyd/cmd/ebonyd/main.go
@@ -37,8 +37,9 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	if err := command().Run(ctx, os.Args); err != nil {
+	err := command().Run(ctx, os.Args)
+	stop()
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "ebonyd:", err)
 		os.Exit(1)
 	}
