ebonyctl: use the client of the object API from pkg/store

Cause: ebonyctl had its own HTTP client and its own reading back after a lost answer, which repeated most of pkg/store. Change: client.Platform puts store.Client behind the Objects interface. store.Client takes the edit identifier from the caller with PutEdit, so that ebonyctl can show it. The stand-in of the tests names the object's revision in a conflict, as the platform does, instead of the store's. Ruled out: an identifier of the store's own, which an operator never sees; reading back in both layers, since the second does not know the first's identifier. Conclusion: one client settles lost answers for daemons and operators.

--- a/ebonyctl/client/client.go
+++ b/ebonyctl/client/client.go
@@ -11,11 +11,12 @@
 )
 
 // Objects is the object API. Put and Delete take effect only if the object is
-// at revision rev; 0 means that it must not exist.
+// at revision rev; 0 means that it must not exist. They send the write once and
+// settle a lost answer by reading back. Put adds the edit identifier to the
+// value. Errors: ErrNotFound, *store.ConflictError, *store.UnavailableError.
 type Objects interface {
 	List(ctx context.Context, kind conf.Kind) (rev uint64, objs []conf.Object, err error)
-	Get(ctx context.Context, kind conf.Kind, name string) (conf.Object, error)
-	Put(ctx context.Context, kind conf.Kind, name string, rev uint64, value []byte) (uint64, error)
+	Put(ctx context.Context, kind conf.Kind, name string, rev uint64, value []byte, edit string) (uint64, error)
 	Delete(ctx context.Context, kind conf.Kind, name string, rev uint64) (uint64, error)
 }
 
@@ -48,24 +49,6 @@
 // ErrNotFound reports an object that does not exist.
 var ErrNotFound = errors.New("object does not exist")
 
-// Stale reports a conditional write that found another revision. Nothing was
-// written.
-type Stale struct{ Current uint64 }
-
-// Error names the current revision.
-func (e *Stale) Error() string {
-	return fmt.Sprintf("the object changed; the store is at revision %d", e.Current)
-}
-
-// LostAnswer reports a write that may or may not have taken effect.
-type LostAnswer struct{ Err error }
-
-// Error gives the cause.
-func (e *LostAnswer) Error() string { return "no answer to the write: " + e.Err.Error() }
-
-// Unwrap returns the cause.
-func (e *LostAnswer) Unwrap() error { return e.Err }
-
 // Conflict reports a race of two edits. The other edit is in the store; this
 // one is kept here for the operator.
 type Conflict struct {
--- a/ebonyctl/cmd/ebonyctl/main.go
+++ b/ebonyctl/cmd/ebonyctl/main.go
@@ -23,12 +23,15 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	var seed [32]byte
 	_, _ = crand.Read(seed[:]) // It never fails; see crypto/rand.
+	rnd := rand.New(rand.NewChaCha8(seed))
 	app := &verbs.App{
 		Out: os.Stdout, Err: os.Stderr,
-		Rand:          rand.New(rand.NewChaCha8(seed)),
-		Now:           time.Now,
-		Pause:         pause,
-		DialObjects:   dialObjects,
+		Rand:  rnd,
+		Now:   time.Now,
+		Pause: pause,
+		DialObjects: func(base []string) (client.Objects, error) {
+			return client.Dial(base, &http.Client{}, rnd, pause), nil
+		},
 		DialInstances: dialInstances,
 	}
 	code := app.Run(ctx, os.Args)
@@ -47,11 +50,6 @@
 	}
 }
 
-// dialObjects returns the object API over HTTP.
-func dialObjects(base []string) (client.Objects, error) {
-	return &client.HTTP{Base: base, Client: &http.Client{Timeout: callTime}}, nil
-}
-
 // dialInstances returns a client of the instances' admin service. The key is
 // the operator key in base64, as in the process settings.
 func dialInstances(addrs []string, key string) (client.Instances, error) {
--- a/ebonyctl/verbs/change.go
+++ b/ebonyctl/verbs/change.go
@@ -84,7 +84,7 @@
 
 // write writes the edit and hands it to the instances that are reachable.
 func (a *App) write(ctx context.Context, ed client.Edit) (uint64, error) {
-	e := client.Editor{Objects: a.objects, Rand: a.Rand, Pause: a.Pause}
+	e := client.Editor{Objects: a.objects, Rand: a.Rand}
 	rev, err := e.Apply(ctx, &ed)
 	if err != nil {
 		return 0, err
--- a/ebonyctl/verbs/fake_test.go
+++ b/ebonyctl/verbs/fake_test.go
@@ -65,10 +65,13 @@
 		return
 	}
 	body, _ := io.ReadAll(r.Body)
+	rev := &s.rev // that the answer names: of the object in a conflict
 	apply := func() {
 		switch {
 		case s.objs[kind+"/"+name].Rev != atoi(r.Header.Get("If-Match")):
 			w.WriteHeader(http.StatusConflict)
+			other := s.objs[kind+"/"+name].Rev
+			rev = &other
 		case r.Method == http.MethodDelete:
 			s.rev++
 			delete(s.objs, kind+"/"+name)
@@ -89,7 +92,7 @@
 		}
 	}
 	apply()
-	reply(map[string]uint64{"rev": s.rev})
+	reply(map[string]uint64{"rev": *rev})
 }
 
 func atoi(s string) uint64 {
@@ -137,12 +140,13 @@
 }
 
 func (b *bench) app() *App {
+	pause := func(_ context.Context, d time.Duration) error { b.now = b.now.Add(d); return nil }
 	return &App{
 		Out: &b.out, Err: &b.err, Rand: rand.New(rand.NewPCG(1, 2)),
 		Now:   func() time.Time { return b.now },
-		Pause: func(_ context.Context, d time.Duration) error { b.now = b.now.Add(d); return nil },
+		Pause: pause,
 		DialObjects: func(base []string) (client.Objects, error) {
-			return &client.HTTP{Base: base, Client: http.DefaultClient}, nil
+			return client.Dial(base, http.DefaultClient, rand.New(rand.NewPCG(3, 4)), pause), nil
 		},
 		DialInstances: func([]string, string) (client.Instances, error) { return b.fleet, nil },
 	}
--- a/pkg/store/write.go
+++ b/pkg/store/write.go
@@ -16,7 +16,19 @@
 // member, by which it finds its own write after a lost answer. It sends the
 // write once, except to a further address when no connection came about.
 func (c *Client) Put(ctx context.Context, kind, name string, rev uint64, value json.RawMessage) (uint64, error) {
-	edit, body, err := c.withEdit(value)
+	return c.PutEdit(ctx, kind, name, rev, value, c.NewEdit())
+}
+
+// NewEdit returns a random edit identifier.
+func (c *Client) NewEdit() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return fmt.Sprintf("%016x%016x", c.Rand.Uint64(), c.Rand.Uint64())
+}
+
+// PutEdit is Put with an edit identifier of NewEdit, for callers that show it.
+func (c *Client) PutEdit(ctx context.Context, kind, name string, rev uint64, value json.RawMessage, edit string) (uint64, error) {
+	body, err := WithEdit(value, edit)
 	if err != nil {
 		return 0, fmt.Errorf("put %s %q: %w", kind, name, err)
 	}
@@ -144,18 +156,14 @@
 	return conflict
 }
 
-// withEdit returns a fresh edit identifier and the value that carries it.
-func (c *Client) withEdit(value json.RawMessage) (string, []byte, error) {
+// WithEdit returns the value with the edit identifier, as PutEdit writes it.
+func WithEdit(value json.RawMessage, edit string) (json.RawMessage, error) {
 	var m map[string]json.RawMessage
 	if err := json.Unmarshal(value, &m); err != nil || m == nil {
-		return "", nil, fmt.Errorf("value %.60s is not a JSON object", value)
+		return nil, fmt.Errorf("value %.60s is not a JSON object", value)
 	}
-	c.mu.Lock()
-	edit := fmt.Sprintf("%016x%016x", c.Rand.Uint64(), c.Rand.Uint64())
-	c.mu.Unlock()
 	m[editField] = json.RawMessage(`"` + edit + `"`)
-	b, err := json.Marshal(m)
-	return edit, b, err
+	return json.Marshal(m)
 }
 
 func editOf(value json.RawMessage) string {
