ebonyctl: tell an accepted edit from a failed one

Cause: when no instance answered after an edit was accepted, ebonyctl ended with the exit code of a failure, as if nothing had been written. Change: the exit code is that of an edit that is not in force everywhere, and the message says that it is not known where it is. A missing address is named as such, and missing places are sorted. Ruled out: waiting on, since the time is over. Before: exit code 1. Conclusion: an operator does not repeat an edit that is in the store.

--- a/ebonyctl/client/fleet.go
+++ b/ebonyctl/client/fleet.go
@@ -21,8 +21,10 @@
 	Client *http.Client
 }
 
-// errNoInstance reports that no address was given or none answered.
-var errNoInstance = errors.New("no instance answered")
+var (
+	errNoInstance = errors.New("no instance answered")
+	errNoAddress  = errors.New("no admin address of an instance is given")
+)
 
 func (f *Fleet) client(addr string) *admin.Client {
 	if !strings.Contains(addr, "://") {
@@ -33,7 +35,7 @@
 
 // each calls do for every instance and fails only if it failed for all.
 func (f *Fleet) each(do func(c *admin.Client) error) error {
-	last := errNoInstance
+	last := errNoAddress
 	ok := false
 	for _, a := range f.Addrs {
 		if err := do(f.client(a)); err != nil {
@@ -66,7 +68,7 @@
 
 // Watch implements Instances. The first instance that answers speaks for all.
 func (f *Fleet) Watch(ctx context.Context, rev uint64) (Progress, error) {
-	last := errNoInstance
+	last := errNoAddress
 	for _, a := range f.Addrs {
 		var p Progress
 		err := f.client(a).Watch(ctx, rev, func(m admin.Progress) bool {
--- a/ebonyctl/verbs/app.go
+++ b/ebonyctl/verbs/app.go
@@ -52,14 +52,22 @@
 
 func usagef(format string, args ...any) error { return &usageError{fmt.Errorf(format, args...)} }
 
-// NotInForce reports a revision that some places do not have in force.
+// NotInForce reports a revision that some places do not have in force, or, with
+// Err, one of which no instance told.
 type NotInForce struct {
 	Rev     uint64
 	Missing []string
+	Err     error
 }
 
+// Unwrap returns the cause.
+func (e *NotInForce) Unwrap() error { return e.Err }
+
 // Error names the missing places.
 func (e *NotInForce) Error() string {
+	if e.Err != nil {
+		return fmt.Sprintf("it is not known where revision %d is in force: %v", e.Rev, e.Err)
+	}
 	return fmt.Sprintf("revision %d is not in force on: %v", e.Rev, e.Missing)
 }
 
--- a/ebonyctl/verbs/change.go
+++ b/ebonyctl/verbs/change.go
@@ -137,9 +137,10 @@
 		}
 		if !a.Now().Before(end) {
 			if err != nil {
-				return fmt.Errorf("watch revision %d: %w", rev, err)
+				return &NotInForce{Rev: rev, Err: err}
 			}
-			return &NotInForce{rev, p.Missing}
+			slices.Sort(p.Missing)
+			return &NotInForce{Rev: rev, Missing: p.Missing}
 		}
 		if err := a.Pause(ctx, watchPause); err != nil {
 			return err
--- a/ebonyctl/verbs/fake_test.go
+++ b/ebonyctl/verbs/fake_test.go
@@ -103,6 +103,7 @@
 // fleet stands in for the instances; those in missing never reach a revision.
 type fleet struct {
 	missing  []string
+	watchErr error // of every watch
 	notified []conf.Object
 }
 
@@ -112,7 +113,7 @@
 }
 
 func (f *fleet) Watch(context.Context, uint64) (client.Progress, error) {
-	return client.Progress{Reached: []string{"bole-1"}, Missing: f.missing}, nil
+	return client.Progress{Reached: []string{"bole-1"}, Missing: f.missing}, f.watchErr
 }
 
 func (f *fleet) Notify(_ context.Context, o conf.Object) (int, error) {
--- a/ebonyctl/verbs/verbs_test.go
+++ b/ebonyctl/verbs/verbs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"os"
 	"path/filepath"
 	"strings"
@@ -127,7 +128,10 @@
 	contains(t, errs, "yeka-2")
 	assert.Equal(t, b.now.Sub(begin), inForceTime)
 	b.run(ExitMissing, "watch", "3", "--timeout", "1s")
-	b.missing = nil
+	b.missing, b.watchErr = nil, errors.New("nobody is there")
+	_, errs = b.run(ExitMissing, "domain", "in", "bole") // The edit is accepted.
+	contains(t, errs, "nobody is there")
+	b.watchErr = nil
 	b.run(ExitOK, "watch", "3")
 	for verb, mark := range map[string]string{"leave": "leaving", "return": "in", "remove": "removed"} {
 		b.run(ExitOK, "server", verb, "ledger-01", "--no-wait")
