--- a/emul/judge/judge.go
+++ b/emul/judge/judge.go
@@ -104,7 +104,7 @@
 		s := r.last(sp.to)
 		if s != nil && s.At.Sub(sp.from) > quietLimit {
 			d := max(r.lastPacket(s, sp.name).Sub(sp.from), 0)
-			c.OK, c.Detail = d <= quietLimit, fmt.Sprintf("last after %.1f s", d.Seconds())
+			c.OK, c.Detail = d <= quietLimit, fmt.Sprintf("last after %.3f s", d.Seconds())
 		}
 		out = append(out, c)
 	}
