--- a/ebonyctl/verbs/change.go
+++ b/ebonyctl/verbs/change.go
@@ -84,7 +84,7 @@
 
 // write writes the edit and hands it to the instances that are reachable.
 func (a *App) write(ctx context.Context, ed client.Edit) (uint64, error) {
-	e := client.Editor{Objects: a.objects, Rand: a.Rand, Pause: a.Pause}
+	e := client.Editor{Objects: a.objects, Rand: a.Rand}
 	rev, err := e.Apply(ctx, &ed)
 	if err != nil {
 		return 0, err
@@ -137,9 +137,10 @@
 		}
 		if !a.Now().Before(end) {
 			if err != nil {
-				return fmt.Errorf("watch revision %d: %w", rev, err)
+				return &NotInForce{Rev: rev, Err: err}
 			}
-			return &NotInForce{rev, p.Missing}
+			slices.Sort(p.Missing)
+			return &NotInForce{Rev: rev, Missing: p.Missing}
 		}
 		if err := a.Pause(ctx, watchPause); err != nil {
 			return err
