member, core: keep the order of live members between calls

Cause: the core lists all members five times a second and the daemon asks for those of its failure domain ten times. Each call sorted them, and the core made another sorted copy of all to find the time of the latest answer.

Change: the table keeps the order until a member comes, goes or leaves, and keeps that time as a field. The core renews the bucket owners only when the list differs.

--- a/pkg/core/control.go
+++ b/pkg/core/control.go
@@ -200,18 +200,17 @@
 		return
 	}
 	c.ctl.membersAt = now
-	c.ctl.alive = c.Members.Alive("")
+	c.ctl.acked = c.Members.LastHeard()
+	alive := c.Members.Alive("")
+	if slices.Equal(alive, c.ctl.alive) {
+		return
+	}
+	c.ctl.alive = alive
 	owners := make([]flow.Member, 0, len(c.ctl.alive))
 	for _, a := range c.ctl.alive {
 		owners = append(owners, flow.Member{Name: a.String(), Peer: a})
 	}
 	c.Router.SetMembers(owners)
-	c.ctl.acked = time.Time{}
-	for _, m := range c.Members.All() {
-		if m.Heard.After(c.ctl.acked) {
-			c.ctl.acked = m.Heard
-		}
-	}
 }
 
 // coldUntil returns the time until which this instance may send to servers in
--- a/pkg/member/receive.go
+++ b/pkg/member/receive.go
@@ -54,6 +54,9 @@
 	t.Counters.Acks++
 	if mem := t.members[p.to]; mem != nil && p.sent.After(mem.Heard) {
 		mem.Heard = p.sent
+		if p.sent.After(t.heard) {
+			t.heard = p.sent
+		}
 	}
 	t.skews.add(now, p.sent, m.Clock)
 	if t.Hints != nil {
--- a/pkg/member/slope_test.go
+++ b/pkg/member/slope_test.go
@@ -7,17 +7,17 @@
 )
 
 // BenchmarkSlopeViews measures the lists of members that the core renews five
-// times a second.
+// times a second and the daemon ten times.
 func BenchmarkSlopeViews(b *testing.B) {
 	for _, n := range []int{800, 3200, 12800} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			t := newLossy(b, 1, 1, 0).nodes[0]
 			for i := range n {
-				t.merge(epoch, Update{Addr: addr(i + 1), Domain: "fi-south-1", Incarnation: 1, State: Alive}, false)
+				t.merge(epoch, Update{Addr: addr(i + 1), Domain: fmt.Sprint("domain-", i%22), Incarnation: 1, State: Alive}, false)
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				if len(t.Alive("")) != n+1 || len(t.All()) != n {
+				if len(t.Alive("")) != n+1 || len(t.Alive("domain-1")) < n/22 {
 					b.Fatal("a member is missing")
 				}
 			}
--- a/pkg/member/table.go
+++ b/pkg/member/table.go
@@ -78,6 +78,9 @@
 	due     time.Time
 	deadDue time.Time
 	swept   time.Time
+	heard   time.Time
+	sorted  []*Member        // those that count as alive by address, nil when not valid
+	alive   []netip.AddrPort // addresses of sorted
 }
 
 type probe struct {
@@ -96,6 +99,7 @@
 func (t *Table) Start(now time.Time) {
 	t.me = Update{Addr: t.Self, Domain: t.Domain, Incarnation: uint64(max(1, now.UnixMilli())), State: Alive}
 	t.members = map[netip.AddrPort]*Member{}
+	t.sorted, t.heard = nil, time.Time{}
 	t.last, t.due, t.swept = now, now, now
 }
 
@@ -114,6 +118,7 @@
 // Leave announces the planned stop of this instance.
 func (t *Table) Leave() {
 	t.me.Leaving = true
+	t.sorted = nil
 	t.me.Incarnation++
 	t.tell(t.me)
 }
@@ -139,23 +144,6 @@
 	return all
 }
 
-// Alive returns the live members of the domain and this instance if it
-// belongs there, in order of address. An empty domain stands for all. Suspect
-// members count as alive, leaving ones do not.
-func (t *Table) Alive(domain string) []netip.AddrPort {
-	var out []netip.AddrPort
-	if !t.me.Leaving && (domain == "" || domain == t.Domain) {
-		out = append(out, t.Self)
-	}
-	for a, m := range t.members {
-		if m.live() && !m.Leaving && (domain == "" || m.Domain == domain) {
-			out = append(out, a)
-		}
-	}
-	slices.SortFunc(out, netip.AddrPort.Compare)
-	return out
-}
-
 // Candidates returns the live members of the domain and, for seedFor, the
 // seeds that were not heard yet. A role that only few take is chosen among
 // them: after a restart of all, tables fill in seconds, and those who see only
@@ -175,6 +163,7 @@
 func (t *Table) add(now time.Time, u Update) {
 	m := &Member{Update: u, Since: now}
 	t.members[u.Addr] = m
+	t.sorted = nil
 	i := t.Rand.IntN(len(t.order) + 1)
 	t.order = append(t.order, m)
 	switch u.State {
@@ -201,6 +190,9 @@
 			t.suspect = append(t.suspect, m)
 		}
 	}
+	if counts := u.State != Dead && !u.Leaving; counts != m.counts() || u.Domain != m.Domain {
+		t.sorted = nil
+	}
 	m.Update = u
 	t.tell(u)
 }
--- a/pkg/member/table_test.go
+++ b/pkg/member/table_test.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -142,3 +143,27 @@
 	d, ok := n.ClockSkew()
 	assert.Assert(t, ok && d == 200*time.Millisecond, "skew %v", d)
 }
+
+// Guards against a kept order of live members that misses a change.
+func TestAliveIsCurrent(t *testing.T) {
+	l := newLossy(t, 12, 3, 0.1)
+	changes := 0
+	for i := range 60 {
+		switch i % 12 {
+		case 3:
+			l.off[i/12] = true
+		case 5:
+			l.nodes[5+i/12].Leave()
+		case 9:
+			l.start(i / 12)
+		}
+		l.run(time.Second)
+		for _, n := range l.nodes {
+			kept := n.Alive("")
+			n.sorted = nil
+			assert.DeepEqual(t, fmt.Sprint(n.Alive("")), fmt.Sprint(kept))
+			changes += 11 - len(kept)
+		}
+	}
+	assert.Assert(t, changes != 0, "nothing changed")
+}
