--- a/emul/caller/flow.go
+++ b/emul/caller/flow.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"ebonypaddle/emul/body"
+	"ebonypaddle/pkg/conf"
 	"ebonypaddle/pkg/wire"
 )
 
@@ -22,12 +23,19 @@
 	// Gaps the numbers that the push feed skipped.
 	Sent, Echoed, Gaps uint64
 
-	missing   map[uint64]bool // keepalives without an echo
-	lastPush  uint64
-	latePush  map[uint64]bool // skipped numbers that may still come
-	lastHeard time.Time
+	server     conf.ServerID // that opened the flow
+	generation uint32
+	missing    map[uint64]bool // keepalives without an echo
+	lastPush   uint64
+	latePush   map[uint64]bool // skipped numbers that may still come
+	lastHeard  time.Time
+	brokenAt   time.Time
+	closing    bool // the caller closed it
 }
 
+// live tells whether the flow is open at both ends.
+func (fl *Flow) live() bool { return fl.Open && fl.Broken == "" && !fl.closing }
+
 // frame returns the open frame, or the next keepalive of an open flow.
 func (fl *Flow) frame(timeout time.Duration) wire.Frame {
 	if !fl.Open {
@@ -46,14 +54,22 @@
 	if fl.Broken != "" {
 		return
 	}
+	if f.Kind == wire.KindOpened && !fl.Open {
+		fl.Open, fl.lastHeard = true, now
+		fl.server, fl.generation = f.Server, f.Generation
+	}
+	if f.Server != 0 && (f.Server != fl.server || f.Generation != fl.generation) {
+		return // a repeated open frame reached another server
+	}
 	if len(f.Token) > 0 {
 		fl.Token = f.Token
 	}
 	switch f.Kind {
-	case wire.KindOpened:
-		fl.Open, fl.lastHeard = true, now
 	case wire.KindClosed:
-		fl.Broken = f.Reason.String()
+		if fl.closing {
+			return // The close frame overtook a keepalive on another path.
+		}
+		fl.Broken, fl.brokenAt = f.Reason.String(), now
 	case wire.KindRefusal:
 		if !fl.Open {
 			fl.Broken = f.Reason.String()
@@ -89,7 +105,7 @@
 
 // check marks the flow as stalled when nothing was heard for the stall time.
 func (fl *Flow) check(now time.Time, stall time.Duration) {
-	if fl.Open && fl.Broken == "" && now.Sub(fl.lastHeard) > stall {
-		fl.Broken = CauseStalled
+	if fl.live() && now.Sub(fl.lastHeard) > stall {
+		fl.Broken, fl.brokenAt = CauseStalled, now
 	}
 }
--- a/pkg/core/caller.go
+++ b/pkg/core/caller.go
@@ -25,7 +25,7 @@
 	default:
 		c.Stats.Dropped.Add(wire.ReasonMalformed)
 	}
-	return c.out.Sends
+	return c.sends(now)
 }
 
 func (c *Core) request(now time.Time, p *wire.Packet) {
@@ -65,42 +65,49 @@
 	switch rt.Verdict {
 	case flow.Hold:
 	case flow.Place:
-		c.open(now, p)
+		c.open(now, p, 0)
 	case flow.Forward:
 		if rt.Stateless && p.Frame.Kind == wire.KindOpen {
-			c.openOn(now, p, rt.Server)
+			c.open(now, p, rt.Server)
 			return
 		}
+		c.renew(now, p, rt)
 		c.forward(now, p, rt.Server, rt.Generation)
 	case flow.Refuse:
 		c.refuseFlow(now, p, rt.Reason)
 	}
 }
 
-// open places a new flow.
-func (c *Core) open(now time.Time, p *wire.Packet) {
+// open places a new flow on the server only, if it is not zero: the server of
+// the bucket of a caller without token. A server in cold start takes new flows
+// within its quota.
+func (c *Core) open(now time.Time, p *wire.Packet, only conf.ServerID) {
 	svc, _ := c.Router.Service(p.Service)
 	ask := c.ask(now, svc, true, c.deadline(now, svc, p.Frame.Timeout))
+	ask.Only = only
 	ch, why := c.Picker.Place(now, &ask)
 	if why != wire.ReasonNone {
 		c.refuse(p, why)
 		return
 	}
-	c.toServer(p, ch.Addr, ch.Server, ch.Generation, ch.Deadline)
+	c.toServer(p, ch.Addr, ch.Server, ch.Generation, ch.Deadline, ch.Expires)
 }
 
-// openOn admits a new flow of a caller without token to the server of its
-// bucket. A server in cold start takes such flows within its quota only.
-func (c *Core) openOn(now time.Time, p *wire.Packet, id conf.ServerID) {
+// renew gives the caller a token under the newest key. The old key may be
+// removed later, and the flow would end with it.
+func (c *Core) renew(now time.Time, p *wire.Packet, rt flow.Route) {
+	if p.Frame.Kind != wire.KindData || !c.box.Outdated(now, p.Frame.Token) {
+		return
+	}
 	svc, _ := c.Router.Service(p.Service)
-	ask := c.ask(now, svc, true, c.deadline(now, svc, p.Frame.Timeout))
-	ask.Only = id
-	ch, why := c.Picker.Place(now, &ask)
-	if why != wire.ReasonNone {
-		c.refuse(p, why)
+	tok, err := c.Router.Opened(now, nil, svc, rt.Server, rt.Generation, p.Frame.Flow)
+	if err != nil {
 		return
 	}
-	c.toServer(p, ch.Addr, ch.Server, ch.Generation, ch.Deadline)
+	c.toCaller(p, wire.Frame{
+		Kind: wire.KindOpened, Flow: p.Frame.Flow, Token: tok,
+		Service: svc, Server: rt.Server, Generation: rt.Generation,
+	})
 }
 
 // forward sends a frame of an established flow to its server. It does not
@@ -126,16 +133,17 @@
 			until = cross
 		}
 	}
-	c.toServer(p, t.addr, id, generation, until)
+	c.toServer(p, t.addr, id, generation, until, until)
 }
 
 // toServer sends a caller's frame to a server in the caller's name.
-func (c *Core) toServer(p *wire.Packet, to netip.AddrPort, id conf.ServerID, generation uint32, deadline time.Time) {
+func (c *Core) toServer(p *wire.Packet, to netip.AddrPort, id conf.ServerID, generation uint32, deadline, expires time.Time) {
 	svc, _ := c.Router.Service(p.Service)
 	q := *p
 	q.Frame.Token = nil
 	q.Frame.Service, q.Frame.Server, q.Frame.Generation = svc, id, generation
 	q.Frame.SetDeadline(deadline)
+	q.Frame.SetExpires(expires)
 	c.out.Server(to, &q)
 }
 
--- a/pkg/core/server.go
+++ b/pkg/core/server.go
@@ -35,7 +35,7 @@
 	default:
 		c.Stats.Dropped.Add(wire.ReasonMalformed)
 	}
-	return c.out.Sends
+	return c.sends(now)
 }
 
 // answer passes an answer to the request table. The frame stays at hand for
@@ -58,6 +58,7 @@
 		}
 		g.Token = tok
 	}
+	c.Opened++
 	c.toCaller(p, g)
 }
 
@@ -68,7 +69,12 @@
 	return wire.ReasonServerShed
 }
 
-// clientFrame keeps what concerns the caller of a server's frame.
+// clientFrame keeps what concerns the caller of a server's frame. Server and
+// generation let the caller tell apart the servers that its repeated open
+// frames reached; it keeps the first and ignores the others.
 func clientFrame(f *wire.Frame) wire.Frame {
-	return wire.Frame{Kind: f.Kind, Flow: f.Flow, Reason: f.Reason, Body: f.Body, ID: f.ID}
+	return wire.Frame{
+		Kind: f.Kind, Flow: f.Flow, Reason: f.Reason, Body: f.Body, ID: f.ID,
+		Service: f.Service, Server: f.Server, Generation: f.Generation,
+	}
 }
