--- a/pkg/pick/sim_test.go
+++ b/pkg/pick/sim_test.go
@@ -39,6 +39,7 @@
 	vtime.Clock
 
 	r         *rand.Rand
+	rounds    *rand.Rand // apart, so that the rounds change no other draw
 	policy    string
 	cut       bool // instances are not fresh for other domains
 	backends  []*backend
@@ -58,7 +59,7 @@
 )
 
 func newSim(policy string, seed uint64) *sim {
-	s := &sim{Clock: vtime.Clock{Now: begin}, policy: policy, r: rand.New(rand.NewPCG(seed, 9))}
+	s := &sim{Clock: vtime.Clock{Now: begin}, policy: policy, r: rand.New(rand.NewPCG(seed, 9)), rounds: rand.New(rand.NewPCG(seed, 9))}
 	cfg := settings(14)
 	for i := range 14 {
 		speed := []int{1, 2, 4, 8}[(i*5+i/4)%4]
@@ -92,6 +93,11 @@
 		for _, p := range b.table.Probes(s.Now, nil) {
 			s.heard(b, int(p.Server)-1, wire.KindProbed, 0, 0)
 		}
+		// The core sends stages that are not urgent to two peers each second.
+		if s.at()%time.Second == 0 {
+			n := len(s.instances)
+			s.spread(b, s.instances[s.rounds.IntN(n)], s.instances[s.rounds.IntN(n)])
+		}
 	}
 	s.After(100*time.Millisecond, s.tick)
 }
@@ -104,10 +110,14 @@
 	b.table.Heard(s.Now, be.addr, &f, latency)
 	b.Reported(s.Now, f.Server, f.Load)
 	if b.table.Urgent() {
-		news := b.table.Updates(nil)
-		for _, other := range s.instances {
-			s.After(2*time.Millisecond, func() { other.table.Merge(s.Now, news) })
-		}
+		s.spread(b, s.instances...)
+	}
+}
+
+func (s *sim) spread(b *balancer, peers ...*balancer) {
+	news := b.table.Updates(nil)
+	for _, other := range peers {
+		s.After(2*time.Millisecond, func() { other.table.Merge(s.Now, news) })
 	}
 }
 
