ebonyctl: write the time of the edit with domain marks

Cause: `domain out` and `domain in` kept the old `since`, so the delay of conf.EffectAfter was skipped when a domain came back. A file that changes a mark without a time had the same effect.

Change: the domain verbs write `since` when the mark changes, as the server verbs do. `apply` and `diff` give a mark without a time the time of the edit, or keep the one in the store when the mark is the same. Nodes carry times only in `released`, which Release writes already; keys have no mark.

Ruled out: a `since` on every repeated mark. It would delay the servers of a domain that is already in.

Before: TestMarkTime, "domain out bole": since is the zero time, 292 years off the edit. After: the time of the edit.

--- a/ebonyctl/verbs/read.go
+++ b/ebonyctl/verbs/read.go
@@ -127,6 +127,7 @@
 	if err != nil {
 		return err
 	}
+	a.stampMarks(st.snap, s)
 	changes := conf.Diff(st.snap, s)
 	return a.emit(changes, func(w *strings.Builder) {
 		for _, c := range changes {
--- a/ebonyctl/verbs/verbs_test.go
+++ b/ebonyctl/verbs/verbs_test.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
@@ -215,3 +216,32 @@
 	b.run(ExitNotFound, "server", "move", "nothing", "/utility/archive", "yeka")
 	b.run(ExitUsage, "server", "move", "ledger-03")
 }
+
+// Guards against a mark without the time of its edit, which takes effect on
+// instances before others have heard of it.
+func TestMarkTime(t *testing.T) {
+	b := loaded(t)
+	since := func() string {
+		var d conf.Domain
+		assert.NilError(t, json.Unmarshal(b.objs["domain/bole"].Value, &d))
+		return d.Since.Sub(b.now).String()
+	}
+	for _, step := range []struct {
+		args string
+		want string
+	}{
+		{"domain out bole", "0s"},
+		{"apply " + utility, "0s"}, // The file has the mark in and no time.
+		{"apply " + utility, "-1s"},
+		{"domain in bole", "-2s"}, // Already in.
+		{"domain out bole", "0s"},
+		{"domain in bole", "0s"},
+	} {
+		b.now = b.now.Add(time.Second)
+		b.run(ExitOK, strings.Fields(step.args)...)
+		assert.Equal(t, since(), step.want, step.args)
+	}
+	b.run(ExitOK, "apply", utility)
+	out, _ := b.run(ExitOK, "diff", utility)
+	assert.Equal(t, out, "0 differences\n")
+}
--- a/ebonyctl/verbs/write.go
+++ b/ebonyctl/verbs/write.go
@@ -68,7 +68,9 @@
 		if !ok {
 			return fmt.Errorf("domain %q: %w", name, client.ErrNotFound)
 		}
-		d.Mark = mark
+		if d.Mark != mark {
+			d.Mark, d.Since = mark, a.Now().UTC()
+		}
 		o, err := conf.Encode(conf.KindDomain, name, d)
 		if err != nil {
 			return err
@@ -132,6 +134,7 @@
 	if err != nil {
 		return err
 	}
+	a.stampMarks(st.snap, next)
 	edits, err := a.edits(st, next, cmd.Bool("prune"))
 	if err != nil {
 		return err
