ebonyctl: notice a store that lost changes and bring it forward

Cause: after a restored backup the platform orders edits below the revision that the instances hold. Instances ignore such an edit, and ebonyctl reported it as in force, since every instance was beyond its revision.

Change: Watch messages carry the highest revision of the instances that are not dead. Exit code 8 reports it. The operators' API gives the settings that an instance holds, and `store forward` shows both sides of what differs.

Ruled out: telling edits made after the restore by their revision. The store does not say at which revision it was restored, so everything that differs is shown and needs the flag. Pull for operators: it needs the cluster key.

Conclusion: an edit below the instances' revision is no longer called in force.

--- a/ebonyctl/client/client.go
+++ b/ebonyctl/client/client.go
@@ -24,6 +24,11 @@
 	Status(ctx context.Context) ([]Status, error)
 	// Watch reports, after a short wait at most, which places have rev in force.
 	Watch(ctx context.Context, rev uint64) (Progress, error)
+	// Highest returns the highest revision that any instance has in force.
+	Highest(ctx context.Context) (uint64, error)
+	// Settings returns the settings of the instance with the highest
+	// revision of those that answer.
+	Settings(ctx context.Context) (*conf.Snapshot, error)
 	// Notify hands a change directly to the instances that the client
 	// reaches and returns how many took it.
 	Notify(ctx context.Context, change conf.Object) (int, error)
--- a/ebonyctl/client/fleet.go
+++ b/ebonyctl/client/fleet.go
@@ -10,6 +10,7 @@
 
 	"ebonypaddle/pkg/admin"
 	"ebonypaddle/pkg/conf"
+	"ebonypaddle/pkg/dist"
 )
 
 // Fleet asks running instances over their admin service.
@@ -81,6 +82,38 @@
 	return Progress{}, last
 }
 
+// Highest implements Instances.
+func (f *Fleet) Highest(ctx context.Context) (uint64, error) {
+	high := uint64(0)
+	err := f.each(func(c *admin.Client) error {
+		return c.Watch(ctx, 0, func(m admin.Progress) bool {
+			high = max(high, m.Highest)
+			return false
+		})
+	})
+	return high, err
+}
+
+// Settings implements Instances.
+func (f *Fleet) Settings(ctx context.Context) (*conf.Snapshot, error) {
+	var held dist.Replica
+	err := f.each(func(c *admin.Client) error {
+		ans, err := c.Settings(ctx)
+		if err != nil {
+			return err
+		}
+		d, err := dist.DecodeDelta(ans.Delta)
+		if err == nil {
+			held.Apply(d)
+		}
+		return err
+	})
+	if err == nil && held.Current() == nil {
+		err = errNoInstance
+	}
+	return held.Current(), err
+}
+
 // Notify implements Instances.
 func (f *Fleet) Notify(ctx context.Context, change conf.Object) (int, error) {
 	ch := admin.Change{Rev: change.Rev}
--- a/ebonyctl/verbs/app.go
+++ b/ebonyctl/verbs/app.go
@@ -27,6 +27,7 @@
 	ExitMissing  = 5
 	ExitUnknown  = 6
 	ExitNotFound = 7
+	ExitLost     = 8
 )
 
 // App is the program; its fields are set before Run.
@@ -43,6 +44,9 @@
 	objects   client.Objects
 	instances client.Instances
 	json      bool
+	// highest is the highest revision of the instances before an edit, 0 if
+	// none answered.
+	highest uint64
 }
 
 type usageError struct{ err error }
@@ -81,6 +85,7 @@
 		missing  *NotInForce
 		unknown  *client.Unknown
 		path     *conf.PathError
+		lost     *StoreLost
 	)
 	switch {
 	case err == nil:
@@ -91,6 +96,8 @@
 		return ExitInvalid
 	case errors.As(err, &conflict):
 		return ExitConflict
+	case errors.As(err, &lost):
+		return ExitLost
 	case errors.As(err, &missing):
 		return ExitMissing
 	case errors.As(err, &unknown):
--- a/ebonyctl/verbs/change.go
+++ b/ebonyctl/verbs/change.go
@@ -70,6 +70,7 @@
 		return err
 	}
 	ed := st.edit(o)
+	a.readHighest(ctx)
 	if cmd.IsSet("rev") {
 		if ed.Rev = cmd.Uint64("rev"); ed.Rev != st.objs[o.Kind][o.Name].Rev {
 			ed.Base = nil // What the operator saw is not in the store any more.
@@ -89,6 +90,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if rev <= a.highest {
+		return 0, &StoreLost{Rev: rev, Highest: a.highest, Accepted: true}
+	}
 	if !onlyMarks(&ed) {
 		return rev, nil
 	}
--- a/ebonyctl/verbs/command.go
+++ b/ebonyctl/verbs/command.go
@@ -27,6 +27,10 @@
 	}
 	rev := append([]cli.Flag{&cli.Uint64Flag{Name: "rev", Usage: "revision of the object that the edit replaces; 0 if it must not exist (default: the revision just read)"}}, wait...)
 	prune := append([]cli.Flag{&cli.BoolFlag{Name: "prune", Usage: "also delete objects that the file lacks"}}, wait...)
+	forward := append([]cli.Flag{
+		&cli.BoolFlag{Name: "write", Usage: "write the instances' side of everything that differs, except for what --keep names"},
+		&cli.StringSliceFlag{Name: "keep", Usage: "KIND/NAME of an object whose side in the store is kept and put in force, such as an edit made after the restore; may be repeated"},
+	}, wait...)
 	root := &cli.Command{
 		Name:                  "ebonyctl",
 		Usage:                 "read and change the settings of ebonypaddle",
@@ -58,6 +62,8 @@
 				verb{name: "return", args: "NAME", nargs: 1, flags: rev, usage: "give a server work again", example: "ebonyctl server return order-03", run: a.serverMark("in")},
 				verb{name: "remove", args: "NAME", nargs: 1, flags: rev, usage: "remove a server and start the quarantine of its address", example: "ebonyctl server remove order-03", run: a.serverMark("removed")},
 				verb{name: "move", args: "NAME SERVICE DOMAIN", nargs: 3, flags: rev, usage: "put a removed server into another service, under the next generation", example: "ebonyctl server move ledger-03 /utility/ledger yeka", run: a.serverMove}),
+			a.group("store", "repair the platform's object API",
+				verb{name: "forward", flags: forward, usage: "bring a store that lost changes back to the settings and beyond the revision that the instances hold; without --write, only show what differs", example: "ebonyctl store forward --write --keep node//utility", run: a.storeForward}),
 			a.leaf(verb{name: "watch", args: "REV", nargs: 1, flags: wait[1:], usage: "wait until a revision is in force on every instance", example: "ebonyctl watch 42 --timeout 10s", run: a.watch}),
 			a.leaf(verb{name: "status", usage: "show instances, servers, flows and refusals", example: "ebonyctl status --output json", run: a.status}),
 		},
--- a/ebonyctl/verbs/doc.go
+++ b/ebonyctl/verbs/doc.go
@@ -32,6 +32,7 @@
 		ExitMissing:  "accepted, but not in force on every instance",
 		ExitUnknown:  "the answer was lost and the edit may still take effect",
 		ExitNotFound: "the object does not exist",
+		ExitLost:     "the store lost changes, as after a restored backup; what it accepted is not in force",
 	} {
 		fmt.Fprintf(&b, "| %d | %s |\n", code, meaning)
 	}
--- a/ebonyctl/verbs/fake_test.go
+++ b/ebonyctl/verbs/fake_test.go
@@ -24,6 +24,8 @@
 	rev   uint64
 	objs  map[string]conf.Object
 	count map[string]int
+	// events are all writes in order.
+	events []conf.Object
 	// invalid collects the problems of every state after a write.
 	invalid conf.Problems
 	// before runs ahead of the next PUT. It may hide the answer.
@@ -32,7 +34,9 @@
 
 func (s *standIn) put(kind conf.Kind, name string, value []byte) {
 	s.rev++
-	s.objs[string(kind)+"/"+name] = conf.Object{Kind: kind, Name: name, Rev: s.rev, Value: value}
+	o := conf.Object{Kind: kind, Name: name, Rev: s.rev, Value: value}
+	s.objs[string(kind)+"/"+name] = o
+	s.events = append(s.events, o)
 }
 
 func (s *standIn) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -72,6 +76,7 @@
 		case r.Method == http.MethodDelete:
 			s.rev++
 			delete(s.objs, kind+"/"+name)
+			s.events = append(s.events, conf.Object{Kind: conf.Kind(kind), Name: name, Rev: s.rev, Deleted: true})
 		default:
 			s.put(conf.Kind(kind), name, body)
 		}
@@ -100,6 +105,8 @@
 // fleet stands in for the instances; those in missing never reach a revision.
 type fleet struct {
 	missing  []string
+	high     uint64
+	held     *conf.Snapshot
 	notified []conf.Object
 }
 
@@ -112,6 +119,10 @@
 	return client.Progress{Reached: []string{"bole-1"}, Missing: f.missing}, nil
 }
 
+func (f *fleet) Highest(context.Context) (uint64, error) { return f.high, nil }
+
+func (f *fleet) Settings(context.Context) (*conf.Snapshot, error) { return f.held, nil }
+
 func (f *fleet) Notify(_ context.Context, o conf.Object) (int, error) {
 	f.notified = append(f.notified, o)
 	return 1, nil
--- a/ebonyctl/verbs/read.go
+++ b/ebonyctl/verbs/read.go
@@ -35,6 +35,7 @@
 		return err
 	}
 	shown := *st.snap
+	shown.Rev = st.snap.Rev
 	shown.Keys = map[string]conf.Key{}
 	for name, k := range st.snap.Keys {
 		k.Secret = nil
@@ -142,6 +143,10 @@
 	if err != nil {
 		return usagef("REV is %q, must be a revision number", cmd.Args().First())
 	}
+	a.readHighest(ctx)
+	if err := a.checkStore(ctx); err != nil {
+		return err
+	}
 	return a.follow(ctx, cmd, rev)
 }
 
@@ -150,7 +155,9 @@
 	if err != nil {
 		return fmt.Errorf("status of instances: %w", err)
 	}
-	return a.emit(all, func(w *strings.Builder) {
+	a.readHighest(ctx)
+	lost := a.checkStore(ctx)
+	err = a.emit(all, func(w *strings.Builder) {
 		table(w, func(w *strings.Builder) {
 			fmt.Fprintln(w, "INSTANCE\tDOMAIN\tREV\tFLOWS\tSERVERS\tREFUSALS")
 			for _, s := range all {
@@ -162,6 +169,7 @@
 			}
 		})
 	})
+	return errors.Join(lost, err)
 }
 
 func counts[T int | uint64](m map[string]T) string {
--- a/ebonyctl/verbs/write.go
+++ b/ebonyctl/verbs/write.go
@@ -139,6 +139,7 @@
 	if err != nil {
 		return err
 	}
+	a.readHighest(ctx)
 	rev := st.snap.Rev
 	for i, ed := range edits {
 		if rev, err = a.write(ctx, ed); err != nil {
@@ -148,20 +149,30 @@
 	return a.follow(ctx, cmd, rev)
 }
 
-// edits lists what turns the store into next, in an order that is valid after
-// every step. Without prune, objects that next lacks are kept.
+// edits lists what turns the store into next and checks the result.
 func (a *App) edits(st *state, next *conf.Snapshot, prune bool) ([]client.Edit, error) {
+	out, goal, err := st.edits(next, prune)
+	if err != nil {
+		return nil, err
+	}
+	return out, a.check(st, goal)
+}
+
+// edits lists what turns the store into next, in an order that is valid after
+// every step, and returns the settings after the last. Without prune, objects
+// that next lacks are kept.
+func (st *state) edits(next *conf.Snapshot, prune bool) ([]client.Edit, *conf.Snapshot, error) {
 	differs := map[[2]string]bool{}
 	for _, c := range conf.Diff(st.snap, next) {
 		differs[[2]string{string(c.Kind), c.Name}] = true
 	}
 	puts, err := next.Objects()
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	olds, err := st.snap.Objects()
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	slices.Reverse(olds) // Objects that refer to others are deleted first.
 	listed := map[[2]string]bool{}
@@ -187,8 +198,5 @@
 			err = errors.Join(err, add(conf.Object{Kind: o.Kind, Name: o.Name, Deleted: true}))
 		}
 	}
-	if err != nil {
-		return nil, err
-	}
-	return out, a.check(st, goal)
+	return out, goal, err
 }
--- a/pkg/admin/admin_test.go
+++ b/pkg/admin/admin_test.go
@@ -53,6 +53,7 @@
 	ctx, errs := context.Background(), map[string]error{}
 	_, errs["pull"] = c.Pull(ctx, 1)
 	_, errs["status"] = c.Status(ctx)
+	_, errs["settings"] = c.Settings(ctx)
 	_, errs["notify"] = c.Notify(ctx, Change{Rev: 1, Domain: out()})
 	errs["watch"] = c.Watch(ctx, 1, func(Progress) bool { return true })
 	return errs
@@ -60,7 +61,7 @@
 
 // Guards against a service that opens to no key, a wrong one or the other one.
 func TestKeys(t *testing.T) {
-	for key, open := range map[string]string{"": "", "operatos": "", "cluster": "pull", "operator": "status notify watch"} {
+	for key, open := range map[string]string{"": "", "operatos": "", "cluster": "pull", "operator": "status settings notify watch"} {
 		t.Run("key "+key, func(t *testing.T) {
 			s, c, _ := setup(t, key)
 			refused := uint64(0)
--- a/pkg/admin/client.go
+++ b/pkg/admin/client.go
@@ -27,6 +27,11 @@
 	return call[StatusRequest, Status](ctx, c, statusPath, StatusRequest{})
 }
 
+// Settings returns the settings that the instance holds, as a full delta.
+func (c *Client) Settings(ctx context.Context) (PullAnswer, error) {
+	return call[SettingsRequest, PullAnswer](ctx, c, settingsPath, SettingsRequest{})
+}
+
 // Notify hands an accepted change over.
 func (c *Client) Notify(ctx context.Context, ch Change) (NotifyAnswer, error) {
 	return call[Change, NotifyAnswer](ctx, c, notifyPath, ch)
--- a/pkg/admin/server.go
+++ b/pkg/admin/server.go
@@ -39,6 +39,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(pullPath, s.guard(s.ClusterKey, s.record(connect.NewUnaryHandler(pullPath, unary(s.pull), opts...))))
 	mux.Handle(statusPath, s.guard(s.OperatorKey, s.record(connect.NewUnaryHandler(statusPath, unary(s.status), opts...))))
+	mux.Handle(settingsPath, s.guard(s.OperatorKey, s.record(connect.NewUnaryHandler(settingsPath, unary(s.settings), opts...))))
 	mux.Handle(notifyPath, s.guard(s.OperatorKey, s.record(connect.NewUnaryHandler(notifyPath, unary(s.notify), opts...))))
 	mux.Handle(watchPath, s.guard(s.OperatorKey, connect.NewServerStreamHandler(watchPath, s.watch, opts...)))
 	return mux, nil
@@ -59,6 +60,12 @@
 	return s.Puller.Pull(ctx, r.Since)
 }
 
+// settings gives the whole settings. Operators may read them from the platform
+// as well, secrets included.
+func (s *Server) settings(ctx context.Context, _ SettingsRequest) (PullAnswer, error) {
+	return s.Puller.Pull(ctx, 0)
+}
+
 func (s *Server) status(ctx context.Context, _ StatusRequest) (Status, error) {
 	return s.Operator.Status(ctx)
 }
--- a/pkg/admin/types.go
+++ b/pkg/admin/types.go
@@ -14,6 +14,8 @@
 	statusPath = "/ebonypaddle.Operator/Status"
 	watchPath  = "/ebonypaddle.Operator/Watch"
 	notifyPath = "/ebonypaddle.Operator/Notify"
+	// settingsPath gives operators the settings that the instance holds.
+	settingsPath = "/ebonypaddle.Operator/Settings"
 )
 
 const (
@@ -35,6 +37,9 @@
 	Delta []byte
 }
 
+// SettingsRequest asks for the settings that the instance holds.
+type SettingsRequest struct{}
+
 // StatusRequest asks for the state of the instance.
 type StatusRequest struct{}
 
@@ -71,7 +76,10 @@
 
 // Progress tells where a revision is not in force yet.
 type Progress struct {
-	Rev     uint64
+	Rev uint64
+	// Highest is the highest revision in force on any instance that the
+	// answering one does not take for dead.
+	Highest uint64
 	Done    bool
 	Reached []string
 	Missing []string
--- a/pkg/daemon/admin.go
+++ b/pkg/daemon/admin.go
@@ -122,6 +122,18 @@
 	}
 }
 
+// highest returns the highest revision of this instance and of the members
+// that are not dead. The caller holds mu.
+func (d *Daemon) highest() uint64 {
+	high := d.core.Replica.Rev()
+	for _, m := range d.core.Members.All() {
+		if m.State != member.Dead {
+			high = max(high, m.Revision)
+		}
+	}
+	return high
+}
+
 // forgetDead is how long a place counts as missing after its instance died.
 const forgetDead = 30 * time.Second
 
@@ -131,7 +143,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.Clock()
-	p := admin.Progress{Rev: rev}
+	p := admin.Progress{Rev: rev, Highest: d.highest()}
 	snap := d.core.Snapshot()
 	if snap == nil {
 		p.Missing = []string{d.Process.Entry}
