ebonyctl: print and watch the revision of the settings

Cause: `tree show` and an `apply` without differences used the store's revision, which the instance list raises as well. Instances do not follow it, so a watch of that revision did not end.

Change: both use the revision of the newest settings object.

Ruled out: lowering what instances have to reach. Their revision is exact for settings already.

Before, TestTreeShowRevision: "revision 34", with 29 settings objects and five writes to the instance list, in `tree show` and in `apply`.

Conclusion: every revision that the client prints can be watched.

--- a/ebonyctl/verbs/change.go
+++ b/ebonyctl/verbs/change.go
@@ -41,6 +41,18 @@
 	return st, ps.Err()
 }
 
+// settings returns the revision of the newest settings object. The store's own
+// revision also counts the instance list, which instances do not follow.
+func (st *state) settings() uint64 {
+	high := uint64(0)
+	for _, objs := range st.objs {
+		for _, o := range objs {
+			high = max(high, o.Rev)
+		}
+	}
+	return high
+}
+
 // edit makes an edit of the object on top of the state.
 func (st *state) edit(o conf.Object) client.Edit {
 	was := st.objs[o.Kind][o.Name]
--- a/ebonyctl/verbs/lost_test.go
+++ b/ebonyctl/verbs/lost_test.go
@@ -99,3 +99,17 @@
 	b.high++
 	b.run(ExitFailed, "store", "forward", "--write")
 }
+
+// Guards against a watch that never ends because the instance list raised the
+// revision that tree show prints.
+func TestTreeShowRevision(t *testing.T) {
+	b := loaded(t)
+	b.rev += 5
+	out, _ := b.run(ExitOK, "tree", "show")
+	contains(t, out, "revision 29\n")
+	out, _ = b.run(ExitOK, "apply", utility)
+	contains(t, out, "revision 29 is in force")
+	b.run(ExitOK, "domain", "out", "bole")
+	out, _ = b.run(ExitOK, "tree", "show")
+	contains(t, out, "revision 35\n")
+}
--- a/ebonyctl/verbs/read.go
+++ b/ebonyctl/verbs/read.go
@@ -35,7 +35,7 @@
 		return err
 	}
 	shown := *st.snap
-	shown.Rev = st.snap.Rev
+	shown.Rev = st.settings()
 	shown.Keys = map[string]conf.Key{}
 	for name, k := range st.snap.Keys {
 		k.Secret = nil
--- a/ebonyctl/verbs/write.go
+++ b/ebonyctl/verbs/write.go
@@ -140,7 +140,7 @@
 		return err
 	}
 	a.readHighest(ctx)
-	rev := st.snap.Rev
+	rev := st.settings()
 	for i, ed := range edits {
 		if rev, err = a.write(ctx, ed); err != nil {
 			return errors.Join(fmt.Errorf("%d of %d objects are written", i, len(edits)), err)
