ebonyctl: show refusals apart from drops, with freshness and skew

Cause: the column of refusals held drops, retries and closes too, told apart by a prefix only, and neither clock skew nor freshness was shown.

Change: the client splits the counters by kind, and `status` has a column for each, for the time left of freshness and for the clock skew. An unknown skew is absent and no longer 0. The time left is computed by the instance, whose clock may differ from the client's.

Ruled out: a change of the warning that no instance took an edit.

Conclusion: an instance that is stale or whose clock is off shows in `status`.

--- a/ebonyctl/client/client.go
+++ b/ebonyctl/client/client.go
@@ -41,7 +41,17 @@
 	Rev     uint64            `json:"rev"`
 	Flows   uint64            `json:"flows"`
 	Servers map[string]string `json:"servers"` // stage by server name
-	Refused map[string]uint64 `json:"refused"` // count by reason
+	// Refused counts refusals to callers, Dropped frames discarded without an
+	// answer, Retried repeated attempts, Closed flows given up, by reason.
+	Refused map[string]uint64 `json:"refused"`
+	Dropped map[string]uint64 `json:"dropped"`
+	Retried map[string]uint64 `json:"retried"`
+	Closed  map[string]uint64 `json:"closed"`
+	// FreshMillis is for how long the instance may still serve servers of
+	// other domains, in milliseconds. SkewMillis is how far the
+	// median of the others' clocks is ahead of its own, absent while unknown.
+	FreshMillis int64  `json:"freshMillis"`
+	SkewMillis  *int64 `json:"skewMillis,omitempty"`
 }
 
 // Progress tells the places at which a revision is in force from the others.
--- a/ebonyctl/client/fleet.go
+++ b/ebonyctl/client/fleet.go
@@ -57,14 +57,33 @@
 		if err != nil {
 			return err
 		}
-		out = append(out, Status{
-			Entry: s.Entry, Domain: s.Domain, Rev: s.Rev, Flows: s.Flows, Servers: s.Servers, Refused: s.Counters,
-		})
+		out = append(out, statusOf(&s))
 		return nil
 	})
 	return out, err
 }
 
+// statusOf splits the counters, which are named by kind and reason.
+func statusOf(s *admin.Status) Status {
+	out := Status{
+		Entry: s.Entry, Domain: s.Domain, Rev: s.Rev, Flows: s.Flows, Servers: s.Servers,
+		Refused: map[string]uint64{}, Dropped: map[string]uint64{}, Retried: map[string]uint64{}, Closed: map[string]uint64{},
+		FreshMillis: s.FreshFor.Milliseconds(),
+	}
+	if s.ClockSkew != nil {
+		ms := s.ClockSkew.Milliseconds()
+		out.SkewMillis = &ms
+	}
+	kinds := map[string]map[string]uint64{"refused": out.Refused, "dropped": out.Dropped, "retried": out.Retried, "closed": out.Closed}
+	for name, n := range s.Counters {
+		kind, reason, _ := strings.Cut(name, ".")
+		if m, ok := kinds[kind]; ok {
+			m[reason] = n
+		}
+	}
+	return out
+}
+
 // Watch implements Instances. The first instance that answers speaks for all.
 func (f *Fleet) Watch(ctx context.Context, rev uint64) (Progress, error) {
 	last := errNoInstance
--- a/ebonyctl/verbs/read.go
+++ b/ebonyctl/verbs/read.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -159,19 +160,26 @@
 	lost := a.checkStore(ctx)
 	err = a.emit(all, func(w *strings.Builder) {
 		table(w, func(w *strings.Builder) {
-			fmt.Fprintln(w, "INSTANCE\tDOMAIN\tREV\tFLOWS\tSERVERS\tREFUSALS")
+			fmt.Fprintln(w, "INSTANCE\tDOMAIN\tREV\tFRESH\tSKEW\tFLOWS\tSERVERS\tREFUSALS\tDROPS\tRETRIES\tCLOSES")
 			for _, s := range all {
 				stages := map[string]int{}
 				for _, stage := range s.Servers {
 					stages[stage]++
 				}
-				fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\t%s\n", s.Entry, s.Domain, s.Rev, s.Flows, counts(stages), counts(s.Refused))
+				skew := "-"
+				if s.SkewMillis != nil {
+					skew = millis(*s.SkewMillis)
+				}
+				fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\t%d\t%s\t%s\t%s\t%s\t%s\n", s.Entry, s.Domain, s.Rev, millis(s.FreshMillis), skew,
+					s.Flows, counts(stages), counts(s.Refused), counts(s.Dropped), counts(s.Retried), counts(s.Closed))
 			}
 		})
 	})
 	return errors.Join(lost, err)
 }
 
+func millis(n int64) string { return (time.Duration(n) * time.Millisecond).String() }
+
 func counts[T int | uint64](m map[string]T) string {
 	out := ""
 	for i, n := range sorted(m) {
--- a/pkg/admin/types.go
+++ b/pkg/admin/types.go
@@ -51,8 +51,13 @@
 	Domain     string
 	Rev        uint64
 	CrossUntil time.Time
-	ClockSkew  time.Duration
-	Members    []Member
+	// FreshFor is the time left until CrossUntil by the instance's own clock.
+	// At 0 it serves the servers of its own domain only.
+	FreshFor time.Duration
+	// ClockSkew is how far the median of the members' clocks is ahead of this
+	// instance's, nil while no member answered.
+	ClockSkew *time.Duration
+	Members   []Member
 	// Servers holds the lifecycle state of each backend server by name.
 	Servers map[string]string
 	// Flows counts the flows this instance opened.
--- a/pkg/daemon/admin.go
+++ b/pkg/daemon/admin.go
@@ -83,11 +83,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.Clock()
-	skew, _ := d.core.Members.ClockSkew()
 	s := admin.Status{
 		Entry: d.Process.Entry, Self: d.Process.Peer, Domain: d.Process.Domain, Rev: d.core.Replica.Rev(),
-		CrossUntil: d.core.Fresh.CrossUntil(now), ClockSkew: skew,
-		Servers: d.core.ServerStates(), Flows: d.core.Opened, Counters: d.Stats.Map(),
+		CrossUntil: d.core.Fresh.CrossUntil(now),
+		Servers:    d.core.ServerStates(), Flows: d.core.Opened, Counters: d.Stats.Map(),
+	}
+	s.FreshFor = max(0, s.CrossUntil.Sub(now))
+	if skew, ok := d.core.Members.ClockSkew(); ok {
+		s.ClockSkew = &skew
 	}
 	for _, m := range d.core.Members.All() {
 		s.Members = append(s.Members, admin.Member{
