ebonyctl: keep keys on prune and hide secrets of a wrong form

A secret in a wrong form was printed with the problem of its decoding.

Problems of decoding show "(hidden)" in place of texts that may hold a secret, for files and for the store's objects.

A file with one of two keys would still delete the other.

After: the key stays, "(hidden)".

Conclusion: no key goes without its own flag, and no secret is printed.

--- a/ebonyctl/verbs/change.go
+++ b/ebonyctl/verbs/change.go
@@ -38,7 +38,7 @@
 	}
 	var ps conf.Problems
 	st.snap, ps = conf.Build(high, all)
-	return st, ps.Err()
+	return st, hideSecrets(ps).Err()
 }
 
 // settings returns the revision of the newest settings object. The store's own
--- a/ebonyctl/verbs/command.go
+++ b/ebonyctl/verbs/command.go
@@ -26,7 +26,8 @@
 		&cli.DurationFlag{Name: "timeout", Value: inForceTime, Usage: "longest wait until the change is in force"},
 	}
 	rev := append([]cli.Flag{&cli.Uint64Flag{Name: "rev", Usage: "revision of the object that the edit replaces; 0 if it must not exist (default: the revision just read)"}}, wait...)
-	prune := append([]cli.Flag{&cli.BoolFlag{Name: "prune", Usage: "also delete objects that the file lacks"}}, wait...)
+	prune := append([]cli.Flag{&cli.BoolFlag{Name: "prune", Usage: "also delete nodes, domains and servers that the file lacks"},
+		&cli.BoolFlag{Name: "prune-keys", Usage: "also delete keys that the file lacks; tokens sealed with them no longer open"}}, wait...)
 	forward := append([]cli.Flag{
 		&cli.BoolFlag{Name: "write", Usage: "write the instances' side of everything that differs, except for what --keep names"},
 		&cli.StringSliceFlag{Name: "keep", Usage: "KIND/NAME of an object whose side in the store is kept and put in force, such as an edit made after the restore; may be repeated"},
--- a/ebonyctl/verbs/forward.go
+++ b/ebonyctl/verbs/forward.go
@@ -81,7 +81,7 @@
 	if err := conf.Problems(conf.Validate(goal)).Err(); err != nil {
 		return 0, err
 	}
-	edits, _, err := st.edits(goal, true)
+	edits, _, err := st.edits(goal, func(conf.Kind) bool { return true })
 	if err != nil {
 		return 0, err
 	}
--- a/ebonyctl/verbs/read.go
+++ b/ebonyctl/verbs/read.go
@@ -97,7 +97,19 @@
 		return nil, err
 	}
 	s, ps := conf.DecodeSnapshot(raw)
-	return s, ps.Err()
+	return s, hideSecrets(ps).Err()
+}
+
+// hideSecrets removes the texts that may hold a key's secret from problems of
+// decoding. A secret in a wrong form is often most of a secret.
+func hideSecrets(ps conf.Problems) conf.Problems {
+	for i := range ps {
+		p := &ps[i]
+		if p.Kind == conf.KindSnapshot || p.Kind == conf.KindKey && p.Field != "id" && p.Field != "sealFrom" {
+			p.Value = "(hidden)"
+		}
+	}
+	return ps
 }
 
 func (a *App) validate(_ context.Context, cmd *cli.Command) error {
--- a/ebonyctl/verbs/verbs_test.go
+++ b/ebonyctl/verbs/verbs_test.go
@@ -245,3 +245,33 @@
 	out, _ := b.run(ExitOK, "diff", utility)
 	assert.Equal(t, out, "0 differences\n")
 }
+
+// Guards against keys that are deleted with a file that lacks them, and
+// against a secret that is printed with a problem of its form.
+func TestKeys(t *testing.T) {
+	b := loaded(t)
+	out, _ := b.run(ExitOK, "--output", "json", "tree", "show")
+	file := filepath.Join(t.TempDir(), "file.json")
+	write := func(text string) { assert.NilError(t, os.WriteFile(file, []byte(text), 0o600)) }
+	var s conf.Snapshot
+	assert.NilError(t, json.Unmarshal([]byte(out), &s))
+	s.Keys = nil
+	raw, err := json.Marshal(s)
+	assert.NilError(t, err)
+	write(strings.Replace(string(raw), `"keys":null`, `"keys":{}`, 1))
+	b.run(ExitOK, "apply", "--prune", file)
+	assert.Equal(t, len(b.objs["key/first"].Value) > 0, true)
+	b.run(ExitOK, "apply", "--prune-keys", file)
+	assert.Equal(t, len(b.objs["key/first"].Value), 0)
+	const secret = "MDEyMzQ1Njc4OWFiY2RlZg"
+	for _, text := range []string{`{"keys":{"k":{"id":1,"secret":"` + secret + `!"}}}`, `{"keys":["` + secret + `"]}`, `{"secret":"` + secret + `"}`} {
+		write(text)
+		for _, verb := range []string{"validate", "diff", "apply"} {
+			out, errs := b.run(ExitInvalid, "--output", "json", verb, file)
+			assert.Assert(t, !strings.Contains(out+errs, secret), "%s %s: %s%s", verb, text, out, errs)
+		}
+	}
+	b.put(conf.KindKey, "bad", []byte(`{"id":2,"secret":"`+secret+`!"}`))
+	_, errs := b.run(ExitInvalid, "tree", "show")
+	assert.Assert(t, !strings.Contains(errs, secret), errs)
+}
--- a/ebonyctl/verbs/write.go
+++ b/ebonyctl/verbs/write.go
@@ -135,7 +135,7 @@
 		return err
 	}
 	a.stampMarks(st.snap, next)
-	edits, err := a.edits(st, next, cmd.Bool("prune"))
+	edits, err := a.edits(st, next, prunes(cmd))
 	if err != nil {
 		return err
 	}
@@ -149,8 +149,20 @@
 	return a.follow(ctx, cmd, rev)
 }
 
+// prunes tells the kinds of objects that apply deletes when the file lacks
+// them. Keys need a flag of their own: files printed by tree show have no
+// keys, and without its key no token opens.
+func prunes(cmd *cli.Command) func(conf.Kind) bool {
+	return func(k conf.Kind) bool {
+		if k == conf.KindKey {
+			return cmd.Bool("prune-keys")
+		}
+		return cmd.Bool("prune")
+	}
+}
+
 // edits lists what turns the store into next and checks the result.
-func (a *App) edits(st *state, next *conf.Snapshot, prune bool) ([]client.Edit, error) {
+func (a *App) edits(st *state, next *conf.Snapshot, prune func(conf.Kind) bool) ([]client.Edit, error) {
 	out, goal, err := st.edits(next, prune)
 	if err != nil {
 		return nil, err
@@ -159,9 +171,9 @@
 }
 
 // edits lists what turns the store into next, in an order that is valid after
-// every step, and returns the settings after the last. Without prune, objects
-// that next lacks are kept.
-func (st *state) edits(next *conf.Snapshot, prune bool) ([]client.Edit, *conf.Snapshot, error) {
+// every step, and returns the settings after the last. Objects that next lacks
+// are kept, but for the kinds that prune names.
+func (st *state) edits(next *conf.Snapshot, prune func(conf.Kind) bool) ([]client.Edit, *conf.Snapshot, error) {
 	differs := map[[2]string]bool{}
 	for _, c := range conf.Diff(st.snap, next) {
 		differs[[2]string{string(c.Kind), c.Name}] = true
@@ -194,7 +206,7 @@
 		}
 	}
 	for _, o := range olds {
-		if prune && !listed[[2]string{string(o.Kind), o.Name}] {
+		if prune(o.Kind) && !listed[[2]string{string(o.Kind), o.Name}] {
 			err = errors.Join(err, add(conf.Object{Kind: o.Kind, Name: o.Name, Deleted: true}))
 		}
 	}
