daemon: write the instance list until it succeeds

Cause: an instance tried three times to write its entry and then gave up, so one that started during an outage of the platform got no packets after it. Instances that started at once also wrote in the same moment.

Change: the write runs in the background, after a wait of up to 1 s at random, and repeats with a doubling wait of at most 30 s, half of it jitter. It ends, and is waited for, before the leaving state is written. `announceErrors` counts failures; the log has one line for them.

Ruled out: a shorter longest wait. At 8 s, 13,000 daemons would write about 2,200 times a second at the end of an outage, against several hundred that the platform takes; at 30 s they write 580.

TestAnnounceStops without the cancellation: two calls after the stop; after: none.

Conclusion: an outage at the start no longer keeps an instance out of service.

--- a/pkg/daemon/counter.go
+++ b/pkg/daemon/counter.go
@@ -13,6 +13,8 @@
 	// SettingsRegressed answers of the platform below the revision that this
 	// instance has seen: a lagging replica or a restored backup.
 	SettingsRefused, SettingsRegressed atomic.Uint64
+	// AnnounceErrors counts failed writes of the instance list.
+	AnnounceErrors atomic.Uint64
 }
 
 // Map returns the counters by name.
@@ -22,6 +24,7 @@
 		"pulls": c.Pulls.Load(), "pullErrors": c.PullErrors.Load(),
 		"reads": c.Reads.Load(), "readErrors": c.ReadErrors.Load(),
 		"settingsRefused": c.SettingsRefused.Load(), "settingsRegressed": c.SettingsRegressed.Load(),
+		"announceErrors": c.AnnounceErrors.Load(),
 	}
 }
 
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -82,8 +82,9 @@
 		wg.Wait()
 		return err
 	}
-	d.announce(run, stateLive)
+	stopAnnouncing := d.announceLive(run)
 	<-ctx.Done()
+	stopAnnouncing()
 	d.leave(run)
 	cancel()
 	d.close()
--- a/pkg/daemon/leave.go
+++ b/pkg/daemon/leave.go
@@ -2,17 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"time"
-
-	"ebonypaddle/pkg/store"
-)
-
-// States of an entry in the platform's instance list.
-const (
-	stateLive    = "live"
-	stateLeaving = "leaving"
 )
 
 const (
@@ -21,43 +11,20 @@
 	// quietTime without packets shows that the fabric has taken this
 	// instance out.
 	quietTime = 2 * time.Second
-	// announceTime bounds one write to the instance list, and announceTries
-	// the writes, since a lost announcement only delays the fabric.
-	announceTime  = 2 * time.Second
-	announceTries = 3
+	// leaveTries bounds the writes of the leaving state. When they fail, the
+	// fabric drops the instance once it no longer answers.
+	leaveTries = 3
 )
 
-// announce writes this instance's entry of the platform's instance list.
-func (d *Daemon) announce(ctx context.Context, state string) {
-	for range announceTries {
-		if d.announceOnce(ctx, state) == nil {
+// announceLeaving tells the fabric that this instance leaves.
+func (d *Daemon) announceLeaving(ctx context.Context) {
+	for range leaveTries {
+		if d.announceOnce(ctx, stateLeaving) == nil {
 			return
 		}
+		d.Counters.AnnounceErrors.Add(1)
 	}
-	d.log.Warn("instance list not written", "state", state)
-}
-
-func (d *Daemon) announceOnce(ctx context.Context, state string) error {
-	ctx, cancel := context.WithTimeout(ctx, announceTime)
-	defer cancel()
-	rev := uint64(0)
-	o, err := d.Store.Get(ctx, store.KindInstance, d.Process.Entry)
-	var missing *store.NotFoundError
-	switch {
-	case err == nil:
-		rev = o.Rev
-	case !errors.As(err, &missing):
-		return err
-	}
-	v, err := json.Marshal(struct {
-		Data  string `json:"data"`
-		State string `json:"state"`
-	}{d.Process.Data.String(), state})
-	if err != nil {
-		return err
-	}
-	_, err = d.Store.Put(ctx, store.KindInstance, d.Process.Entry, rev, v)
-	return err
+	d.log.Warn("instance list not written", "state", stateLeaving)
 }
 
 // leave performs the planned stop: it serves on until no packets come and no
@@ -68,7 +35,7 @@
 	d.mu.Lock()
 	d.core.Leave()
 	d.mu.Unlock()
-	d.announce(ctx, stateLeaving)
+	d.announceLeaving(ctx)
 	for d.Clock().Sub(began) < maxLeave {
 		d.mu.Lock()
 		idle := d.core.Idle(d.Clock(), quietTime)
