admin: serve /debug/vars with the operator key only

Cause: the counters were served without a key on the admin address. They tell the command line, the load and the state of every server.

Change: the admin server guards /debug/vars with the operator key, and the refusals count in `noKey` and `wrongKey` like those of the services. `ebonyctl counters` prints the counters. The sample command of the stand-ins sends the key of its local process settings.

Ruled out: a separate counter. A refusal does not differ from those of the services, and the address of the request is in neither.

Before, TestKeys of pkg/admin without the guard: no error for no key, a wrong one and the cluster key. After: status 401, counted. TestCollect without the header: both instances refuse. TestCounters of ebonyctl without the filter: zeros are printed.

Conclusion: counters are readable by operators alone.

--- a/ebonyctl/client/client.go
+++ b/ebonyctl/client/client.go
@@ -24,6 +24,8 @@
 	Status(ctx context.Context) ([]Status, error)
 	// Watch reports, after a short wait at most, which places have rev in force.
 	Watch(ctx context.Context, rev uint64) (Progress, error)
+	// Counters returns the published counters by instance address.
+	Counters(ctx context.Context) (map[string]json.RawMessage, error)
 	// Highest returns the highest revision that any instance has in force.
 	Highest(ctx context.Context) (uint64, error)
 	// Settings returns the settings of the instance with the highest
--- a/ebonyctl/client/fleet.go
+++ b/ebonyctl/client/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/hex"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -101,6 +102,19 @@
 	return Progress{}, last
 }
 
+// Counters implements Instances.
+func (f *Fleet) Counters(ctx context.Context) (map[string]json.RawMessage, error) {
+	out := map[string]json.RawMessage{}
+	err := f.each(func(c *admin.Client) error {
+		b, err := c.Counters(ctx)
+		if err == nil {
+			out[c.URL] = b
+		}
+		return err
+	})
+	return out, err
+}
+
 // Highest implements Instances.
 func (f *Fleet) Highest(ctx context.Context) (uint64, error) {
 	high := uint64(0)
--- a/ebonyctl/verbs/command.go
+++ b/ebonyctl/verbs/command.go
@@ -66,6 +66,7 @@
 			a.group("store", "repair the platform's object API",
 				verb{name: "forward", flags: forward, usage: "bring a store that lost changes back to the settings and beyond the revision that the instances hold; without --write, only show what differs", example: "ebonyctl store forward --write --keep node//utility", run: a.storeForward}),
 			a.leaf(verb{name: "watch", args: "REV", nargs: 1, flags: wait[1:], usage: "wait until a revision is in force on every instance", example: "ebonyctl watch 42 --timeout 10s", run: a.watch}),
+			a.leaf(verb{name: "counters", args: "[PREFIX]", usage: "print the counters of instances that are not zero, or those whose name starts with PREFIX; all of them as JSON", example: "ebonyctl counters control.", run: a.counters}),
 			a.leaf(verb{name: "status", usage: "show instances with their freshness and clock skew, servers, flows, refusals, drops, retries and closes", example: "ebonyctl status --output json", run: a.status}),
 		},
 	}
--- a/ebonyctl/verbs/fake_test.go
+++ b/ebonyctl/verbs/fake_test.go
@@ -119,6 +119,10 @@
 	return client.Progress{Reached: 1, Lacking: 3 * len(f.missing), Missing: f.missing}, nil
 }
 
+func (f *fleet) Counters(context.Context) (map[string]json.RawMessage, error) {
+	return map[string]json.RawMessage{"10.0.0.1:7002": []byte(`{"cmdline":["x"],"memstats":{"Alloc":9},"control":{"pulls":0},"tables":{"flow":{"Notes":41}}}`)}, nil
+}
+
 func (f *fleet) Highest(context.Context) (uint64, error) { return f.high, nil }
 
 func (f *fleet) Settings(context.Context) (*conf.Snapshot, error) { return f.held, nil }
--- a/ebonyctl/verbs/verbs_test.go
+++ b/ebonyctl/verbs/verbs_test.go
@@ -275,3 +275,19 @@
 	_, errs := b.run(ExitInvalid, "tree", "show")
 	assert.Assert(t, !strings.Contains(errs, secret), errs)
 }
+
+// Guards against counters of inner tables that are lost, and against output
+// that the runtime's statistics and zeros bury.
+func TestCounters(t *testing.T) {
+	b := newBench(t)
+	for args, want := range map[string]string{
+		"counters":          "10.0.0.1:7002  tables.flow.Notes  41\n",
+		"counters control.": "10.0.0.1:7002  control.pulls  0\n",
+		"counters memstats": "10.0.0.1:7002  memstats.Alloc  9\n",
+	} {
+		out, _ := b.run(ExitOK, strings.Fields(args)...)
+		assert.Equal(t, out, want)
+	}
+	out, _ := b.run(ExitOK, "--output", "json", "counters")
+	contains(t, out, `"Notes": 41`, `"pulls": 0`)
+}
--- a/emul/cmd/ebonyemu/judge.go
+++ b/emul/cmd/ebonyemu/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -59,6 +60,7 @@
 			c := judge.Collector{
 				Clock: time.Now, HTTP: &http.Client{Timeout: pageTime},
 				Instances: map[string]string{}, Records: cmd.StringSlice("records"),
+				Key: hex.EncodeToString(localOperatorKey),
 			}
 			for _, arg := range cmd.StringSlice("instance") {
 				name, addr, ok := strings.Cut(arg, "=")
--- a/emul/judge/judge_test.go
+++ b/emul/judge/judge_test.go
@@ -154,7 +154,8 @@
 // against one that leaves out the servers.
 func TestCollect(t *testing.T) {
 	mux := http.NewServeMux()
-	mux.HandleFunc("/debug/vars", func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("/debug/vars", func(w http.ResponseWriter, r *http.Request) {
+		assert.Check(t, r.Header.Get("Authorization") == "Bearer key")
 		_, _ = w.Write([]byte(`{"cmdline":["x"],"refused":{"coldLimit":3},"control":{"peerBytesOut":9}}`))
 	})
 	mux.HandleFunc("/records", func(w http.ResponseWriter, _ *http.Request) {
@@ -167,7 +168,7 @@
 	srv := httptest.NewServer(mux)
 	defer srv.Close()
 	c := judge.Collector{
-		Clock: func() time.Time { return begin }, HTTP: srv.Client(), Records: []string{srv.URL + "/records"},
+		Key: "key", Clock: func() time.Time { return begin }, HTTP: srv.Client(), Records: []string{srv.URL + "/records"},
 		Instances: map[string]string{"up": strings.TrimPrefix(srv.URL, "http://"), "down": "127.0.0.1:1"},
 	}
 	s, err := c.Collect(context.Background())
--- a/emul/judge/sample.go
+++ b/emul/judge/sample.go
@@ -9,6 +9,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"strings"
 	"time"
 
 	"ebonypaddle/emul/server"
@@ -51,6 +52,8 @@
 	HTTP  *http.Client
 	// Instances are admin addresses by entry place.
 	Instances map[string]string
+	// Key admits to the instances' counters.
+	Key string
 	// Records are URLs of servers' /records.
 	Records []string
 }
@@ -90,6 +93,9 @@
 	if err != nil {
 		return fmt.Errorf("sample: %w", err)
 	}
+	if strings.HasSuffix(url, "/debug/vars") {
+		req.Header.Set("Authorization", "Bearer "+c.Key)
+	}
 	res, err := c.HTTP.Do(req)
 	if err != nil {
 		return fmt.Errorf("sample: %w", err)
--- a/pkg/admin/admin_test.go
+++ b/pkg/admin/admin_test.go
@@ -39,7 +39,7 @@
 
 func setup(t *testing.T, key string) (*Server, *Client, *fake) {
 	f := &fake{}
-	s := &Server{Puller: f, Operator: f, ClusterKey: "cluster", OperatorKey: "operator"}
+	s := &Server{Puller: f, Operator: f, ClusterKey: "cluster", OperatorKey: "operator", Debug: http.HandlerFunc(vars)}
 	h, err := s.Handler()
 	assert.NilError(t, err)
 	srv := httptest.NewServer(h)
@@ -47,11 +47,16 @@
 	return s, &Client{HTTP: srv.Client(), URL: srv.URL, Key: key}, f
 }
 
+const varsText = `{"refused":{"overloaded":2}}`
+
+func vars(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(varsText)) }
+
 func out() *conf.Domain { return &conf.Domain{Name: "bole", Mark: conf.MarkOut} }
 
 func calls(c *Client) map[string]error {
 	ctx, errs := context.Background(), map[string]error{}
 	_, errs["pull"] = c.Pull(ctx, 1)
+	_, errs["counters"] = c.Counters(ctx)
 	_, errs["status"] = c.Status(ctx)
 	_, errs["settings"] = c.Settings(ctx)
 	_, errs["notify"] = c.Notify(ctx, Change{Rev: 1, Domain: out()})
@@ -61,7 +66,7 @@
 
 // Guards against a service that opens to no key, a wrong one or the other one.
 func TestKeys(t *testing.T) {
-	for key, open := range map[string]string{"": "", "operatos": "", "cluster": "pull", "operator": "status settings notify watch"} {
+	for key, open := range map[string]string{"": "", "operatos": "", "cluster": "pull", "operator": "counters status settings notify watch"} {
 		t.Run("key "+key, func(t *testing.T) {
 			s, c, _ := setup(t, key)
 			refused := uint64(0)
@@ -70,6 +75,10 @@
 					assert.NilError(t, err, name)
 				} else {
 					refused++
+					if name == "counters" {
+						assert.ErrorContains(t, err, "401")
+						continue
+					}
 					assert.Equal(t, connect.CodeOf(err), connect.CodeUnauthenticated, name)
 				}
 			}
@@ -95,6 +104,9 @@
 	st, err := c.Status(context.Background())
 	assert.NilError(t, err)
 	assert.Assert(t, st.CrossUntil.Equal(crossUntil) && st.Members[0].Domain == "bole")
+	b, err := c.Counters(context.Background())
+	assert.NilError(t, err)
+	assert.Equal(t, string(b), varsText)
 	_, err = c.Notify(context.Background(), Change{Rev: 3, Domain: out()})
 	assert.NilError(t, err)
 	assert.DeepEqual(t, f.changes[0].Domain, out())
--- a/pkg/admin/client.go
+++ b/pkg/admin/client.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net/http"
 
 	"connectrpc.com/connect"
 )
@@ -32,6 +34,28 @@
 	return call[SettingsRequest, PullAnswer](ctx, c, settingsPath, SettingsRequest{})
 }
 
+// Counters returns the published counters of the instance, a JSON object.
+func (c *Client) Counters(ctx context.Context) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.URL+countersPath, nil)
+	if err != nil {
+		return nil, fmt.Errorf("counters of %s: %w", c.URL, err)
+	}
+	req.Header.Set("Authorization", "Bearer "+c.Key)
+	res, err := c.HTTP.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("counters of %s: %w", c.URL, err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("counters of %s: status %s", c.URL, res.Status)
+	}
+	b, err := io.ReadAll(io.LimitReader(res.Body, MaxAnswer))
+	if err != nil {
+		return nil, fmt.Errorf("counters of %s: %w", c.URL, err)
+	}
+	return b, nil
+}
+
 // Notify hands an accepted change over.
 func (c *Client) Notify(ctx context.Context, ch Change) (NotifyAnswer, error) {
 	return call[Change, NotifyAnswer](ctx, c, notifyPath, ch)
--- a/pkg/admin/server.go
+++ b/pkg/admin/server.go
@@ -24,6 +24,9 @@
 	// ClusterKey opens Pull, OperatorKey the rest. An empty key opens nothing.
 	ClusterKey, OperatorKey string
 	Refusals                Refusals
+	// Debug serves the published counters to operators; it may be nil. They
+	// tell the command line and the load of every server.
+	Debug http.Handler
 }
 
 // Handler returns the HTTP handler of the services.
@@ -42,6 +45,9 @@
 	mux.Handle(settingsPath, s.guard(s.OperatorKey, s.record(connect.NewUnaryHandler(settingsPath, unary(s.settings), opts...))))
 	mux.Handle(notifyPath, s.guard(s.OperatorKey, s.record(connect.NewUnaryHandler(notifyPath, unary(s.notify), opts...))))
 	mux.Handle(watchPath, s.guard(s.OperatorKey, connect.NewServerStreamHandler(watchPath, s.watch, opts...)))
+	if s.Debug != nil {
+		mux.Handle(countersPath, s.guard(s.OperatorKey, s.record(s.Debug)))
+	}
 	return mux, nil
 }
 
--- a/pkg/admin/types.go
+++ b/pkg/admin/types.go
@@ -15,6 +15,9 @@
 	statusPath = "/ebonypaddle.Operator/Status"
 	watchPath  = "/ebonypaddle.Operator/Watch"
 	notifyPath = "/ebonypaddle.Operator/Notify"
+	// countersPath serves counters over plain HTTP, where monitoring looks for
+	// them.
+	countersPath = "/debug/vars"
 	// settingsPath gives operators the settings that the instance holds.
 	settingsPath = "/ebonypaddle.Operator/Settings"
 )
--- a/pkg/daemon/admin.go
+++ b/pkg/daemon/admin.go
@@ -35,7 +35,7 @@
 
 func (d *Daemon) serveAdmin(ctx context.Context) (*http.Server, error) {
 	s := &admin.Server{
-		Puller: d, Operator: d,
+		Puller: d, Operator: d, Debug: d.Debug,
 		ClusterKey: clusterToken(d.Process), OperatorKey: OperatorToken(d.Process.OperatorKey),
 	}
 	d.admin = s
@@ -43,17 +43,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("admin services: %w", err)
 	}
-	mux := http.NewServeMux()
-	mux.Handle("/", h)
-	if d.Debug != nil {
-		mux.Handle("/debug/vars", d.Debug)
-	}
 	l, err := net.Listen("tcp", d.Process.Admin.String())
 	if err != nil {
 		return nil, fmt.Errorf("admin address: %w", err)
 	}
 	srv := &http.Server{
-		Handler: mux, ReadHeaderTimeout: headerTime,
+		Handler: h, ReadHeaderTimeout: headerTime,
 		BaseContext: func(net.Listener) context.Context { return ctx },
 	}
 	go func() {
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -46,7 +46,7 @@
 	// Stats counts by reason; Counters counts the rest.
 	Stats    *stats.Counters
 	Counters *Counters
-	// Debug serves the published counters; it may be nil.
+	// Debug serves the published counters to operators; it may be nil.
 	Debug http.Handler
 
 	mu     sync.Mutex
