ebonyctl: take a revision as in force only when an instance says done

Cause: counts replaced the lists of names in the progress. An instance of the version before sends names and no counts, and the client took a missing count for no missing place. A trial against such instances printed "revision 30 is in force on 0 instances".

Change: the count has a field name of its own, so that older messages decode, and only the message's `Done` ends the wait. Names of older messages count as missing places.

Ruled out: refusing older instances. Instances are replaced one after another, and an edit must be possible meanwhile.

Before, TestWatchOlderInstance with the decision by counts: done, with a place missing. After: not done, one place missing, named.

Conclusion: a mixed fleet reports no revision in force too early.

--- a/ebonyctl/client/client.go
+++ b/ebonyctl/client/client.go
@@ -58,8 +58,10 @@
 
 // Progress counts the places at which a revision is in force, and the others.
 type Progress struct {
-	Reached int `json:"reached"`
-	Lacking int `json:"lacking"`
+	// Done is set when no place lacks the revision.
+	Done    bool `json:"done"`
+	Reached int  `json:"reached"`
+	Lacking int  `json:"lacking"`
 	// Missing names some of those where it is not.
 	Missing []string `json:"missing"`
 }
--- a/ebonyctl/client/fleet.go
+++ b/ebonyctl/client/fleet.go
@@ -91,7 +91,7 @@
 	for _, a := range f.Addrs {
 		var p Progress
 		err := f.client(a).Watch(ctx, rev, func(m admin.Progress) bool {
-			p = Progress{Reached: m.Reached, Lacking: m.Lacking, Missing: m.Missing}
+			p = Progress{Done: m.Done, Reached: m.InForce, Lacking: max(m.Lacking, len(m.Missing)), Missing: m.Missing}
 			return false
 		})
 		if err == nil {
--- a/ebonyctl/client/fleet_test.go
+++ b/ebonyctl/client/fleet_test.go
@@ -1,9 +1,14 @@
 package client
 
 import (
+	"context"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
 	"ebonypaddle/pkg/admin"
@@ -30,3 +35,36 @@
 		}
 	}
 }
+
+// older answers a watch as an instance of the version before counts were sent.
+type older struct{}
+
+type olderProgress struct {
+	Rev              uint64
+	Done             bool
+	Reached, Missing []string
+}
+
+func (older) watch(_ context.Context, _ *connect.Request[admin.WatchRequest], s *connect.ServerStream[olderProgress]) error {
+	return s.Send(&olderProgress{Rev: 3, Reached: []string{"bole-1"}, Missing: []string{"bole-2"}})
+}
+
+// Guards against a revision that is called in force because an instance of an
+// older version sends names and no counts.
+func TestWatchOlderInstance(t *testing.T) {
+	const path = "/ebonypaddle.Operator/Watch"
+	mux := http.NewServeMux()
+	mux.Handle(path, connect.NewServerStreamHandler(path, older{}.watch, connect.WithCodec(cborCodec{})))
+	srv := httptest.NewServer(mux)
+	defer srv.Close()
+	p, err := (&Fleet{Addrs: []string{srv.URL}, Client: srv.Client()}).Watch(t.Context(), 3)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, p, Progress{Lacking: 1, Missing: []string{"bole-2"}})
+}
+
+// cborCodec encodes as the instances do.
+type cborCodec struct{}
+
+func (cborCodec) Name() string                    { return "cbor" }
+func (cborCodec) Marshal(v any) ([]byte, error)   { return cbor.Marshal(v) }
+func (cborCodec) Unmarshal(b []byte, v any) error { return cbor.Unmarshal(b, v) }
--- a/ebonyctl/verbs/change.go
+++ b/ebonyctl/verbs/change.go
@@ -145,7 +145,7 @@
 	end := a.Now().Add(cmd.Duration("timeout"))
 	for {
 		p, err := a.instances.Watch(ctx, rev)
-		if err == nil && p.Lacking == 0 {
+		if err == nil && p.Done {
 			done.Progress = p
 			return a.emit(done, func(w *strings.Builder) {
 				fmt.Fprintf(w, "revision %d is in force on %d instances\n", rev, p.Reached)
--- a/ebonyctl/verbs/fake_test.go
+++ b/ebonyctl/verbs/fake_test.go
@@ -116,7 +116,7 @@
 }
 
 func (f *fleet) Watch(context.Context, uint64) (client.Progress, error) {
-	return client.Progress{Reached: 1, Lacking: 3 * len(f.missing), Missing: f.missing}, nil
+	return client.Progress{Done: len(f.missing) == 0, Reached: 1, Lacking: 3 * len(f.missing), Missing: f.missing}, nil
 }
 
 func (f *fleet) Counters(context.Context) (map[string]json.RawMessage, error) {
--- a/pkg/admin/types.go
+++ b/pkg/admin/types.go
@@ -90,9 +90,10 @@
 	// that the answering one does not take for dead.
 	Highest uint64
 	Done    bool
-	// Reached and Lacking count the places where the revision is in force and
-	// where it is not.
-	Reached, Lacking int
+	// InForce and Lacking count the places where the revision is in force and
+	// where it is not. An instance of an older version leaves them at 0, so
+	// only Done says that no place lacks it.
+	InForce, Lacking int
 	// Missing names at most MaxMissing of those where it is not.
 	Missing []string
 }
@@ -104,7 +105,7 @@
 // Add records one place.
 func (p *Progress) Add(place string, reached bool) {
 	if reached {
-		p.Reached++
+		p.InForce++
 		return
 	}
 	p.Lacking++
@@ -116,7 +117,7 @@
 // Same reports whether q tells nothing new.
 func (p *Progress) Same(q *Progress) bool {
 	return p.Rev == q.Rev && p.Highest == q.Highest && p.Done == q.Done &&
-		p.Reached == q.Reached && p.Lacking == q.Lacking && slices.Equal(p.Missing, q.Missing)
+		p.InForce == q.InForce && p.Lacking == q.Lacking && slices.Equal(p.Missing, q.Missing)
 }
 
 // Change is an accepted edit that the operators' client hands over directly.
--- a/pkg/daemon/watch_test.go
+++ b/pkg/daemon/watch_test.go
@@ -39,7 +39,7 @@
 // target for control is 5 KB a second.
 func TestProgressSize(t *testing.T) {
 	p := watched(t).progress(6)
-	assert.Equal(t, p.Reached, 1)
+	assert.Equal(t, p.InForce, 1)
 	assert.Equal(t, p.Lacking, 12_999)
 	assert.Equal(t, len(p.Missing), admin.MaxMissing)
 	assert.Equal(t, p.Highest, uint64(6))
@@ -56,7 +56,7 @@
 	defer cancel()
 	var got []int
 	err := d.Watch(ctx, 7, func(p admin.Progress) error {
-		got = append(got, p.Reached)
+		got = append(got, p.InForce)
 		if len(got) == 1 {
 			snap := *d.settings()
 			snap.Rev = 7
