--- a/ebonyctl/client/client.go
+++ b/ebonyctl/client/client.go
@@ -16,6 +16,7 @@
 // value. Errors: ErrNotFound, *store.ConflictError, *store.UnavailableError.
 type Objects interface {
 	List(ctx context.Context, kind conf.Kind) (rev uint64, objs []conf.Object, err error)
+	Get(ctx context.Context, kind conf.Kind, name string) (conf.Object, error)
 	Put(ctx context.Context, kind conf.Kind, name string, rev uint64, value []byte, edit string) (uint64, error)
 	Delete(ctx context.Context, kind conf.Kind, name string, rev uint64) (uint64, error)
 }
@@ -25,6 +26,13 @@
 	Status(ctx context.Context) ([]Status, error)
 	// Watch reports, after a short wait at most, which places have rev in force.
 	Watch(ctx context.Context, rev uint64) (Progress, error)
+	// Counters returns the published counters by instance address.
+	Counters(ctx context.Context) (map[string]json.RawMessage, error)
+	// Highest returns the highest revision that any instance has in force.
+	Highest(ctx context.Context) (uint64, error)
+	// Settings returns the settings of the instance with the highest
+	// revision of those that answer.
+	Settings(ctx context.Context) (*conf.Snapshot, error)
 	// Notify hands a change directly to the instances that the client
 	// reaches and returns how many took it.
 	Notify(ctx context.Context, change conf.Object) (int, error)
@@ -37,12 +45,26 @@
 	Rev     uint64            `json:"rev"`
 	Flows   uint64            `json:"flows"`
 	Servers map[string]string `json:"servers"` // stage by server name
-	Refused map[string]uint64 `json:"refused"` // count by reason
+	// Refused counts refusals to callers, Dropped frames discarded without an
+	// answer, Retried repeated attempts, Closed flows given up, by reason.
+	Refused map[string]uint64 `json:"refused"`
+	Dropped map[string]uint64 `json:"dropped"`
+	Retried map[string]uint64 `json:"retried"`
+	Closed  map[string]uint64 `json:"closed"`
+	// FreshMillis is for how long the instance may still serve servers of
+	// other domains, in milliseconds. SkewMillis is how far the
+	// median of the others' clocks is ahead of its own, absent while unknown.
+	FreshMillis int64  `json:"freshMillis"`
+	SkewMillis  *int64 `json:"skewMillis,omitempty"`
 }
 
-// Progress tells the places at which a revision is in force from the others.
+// Progress counts the places at which a revision is in force, and the others.
 type Progress struct {
-	Reached []string `json:"reached"`
+	// Done is set when no place lacks the revision.
+	Done    bool `json:"done"`
+	Reached int  `json:"reached"`
+	Lacking int  `json:"lacking"`
+	// Missing names some of those where it is not.
 	Missing []string `json:"missing"`
 }
 
--- a/ebonyctl/client/fleet.go
+++ b/ebonyctl/client/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/hex"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -10,6 +11,7 @@
 
 	"ebonypaddle/pkg/admin"
 	"ebonypaddle/pkg/conf"
+	"ebonypaddle/pkg/dist"
 )
 
 // Fleet asks running instances over their admin service.
@@ -58,21 +60,40 @@
 		if err != nil {
 			return err
 		}
-		out = append(out, Status{
-			Entry: s.Entry, Domain: s.Domain, Rev: s.Rev, Flows: s.Flows, Servers: s.Servers, Refused: s.Counters,
-		})
+		out = append(out, statusOf(&s))
 		return nil
 	})
 	return out, err
 }
 
+// statusOf splits the counters, which are named by kind and reason.
+func statusOf(s *admin.Status) Status {
+	out := Status{
+		Entry: s.Entry, Domain: s.Domain, Rev: s.Rev, Flows: s.Flows, Servers: s.Servers,
+		Refused: map[string]uint64{}, Dropped: map[string]uint64{}, Retried: map[string]uint64{}, Closed: map[string]uint64{},
+		FreshMillis: s.FreshFor.Milliseconds(),
+	}
+	if s.ClockSkew != nil {
+		ms := s.ClockSkew.Milliseconds()
+		out.SkewMillis = &ms
+	}
+	kinds := map[string]map[string]uint64{"refused": out.Refused, "dropped": out.Dropped, "retried": out.Retried, "closed": out.Closed}
+	for name, n := range s.Counters {
+		kind, reason, _ := strings.Cut(name, ".")
+		if m, ok := kinds[kind]; ok {
+			m[reason] = n
+		}
+	}
+	return out
+}
+
 // Watch implements Instances. The first instance that answers speaks for all.
 func (f *Fleet) Watch(ctx context.Context, rev uint64) (Progress, error) {
 	last := errNoAddress
 	for _, a := range f.Addrs {
 		var p Progress
 		err := f.client(a).Watch(ctx, rev, func(m admin.Progress) bool {
-			p = Progress{Reached: m.Reached, Missing: m.Missing}
+			p = Progress{Done: m.Done, Reached: m.InForce, Lacking: max(m.Lacking, len(m.Missing)), Missing: m.Missing}
 			return false
 		})
 		if err == nil {
@@ -83,6 +104,51 @@
 	return Progress{}, last
 }
 
+// Counters implements Instances.
+func (f *Fleet) Counters(ctx context.Context) (map[string]json.RawMessage, error) {
+	out := map[string]json.RawMessage{}
+	err := f.each(func(c *admin.Client) error {
+		b, err := c.Counters(ctx)
+		if err == nil {
+			out[c.URL] = b
+		}
+		return err
+	})
+	return out, err
+}
+
+// Highest implements Instances.
+func (f *Fleet) Highest(ctx context.Context) (uint64, error) {
+	high := uint64(0)
+	err := f.each(func(c *admin.Client) error {
+		return c.Watch(ctx, 0, func(m admin.Progress) bool {
+			high = max(high, m.Highest)
+			return false
+		})
+	})
+	return high, err
+}
+
+// Settings implements Instances.
+func (f *Fleet) Settings(ctx context.Context) (*conf.Snapshot, error) {
+	var held dist.Replica
+	err := f.each(func(c *admin.Client) error {
+		ans, err := c.Settings(ctx)
+		if err != nil {
+			return err
+		}
+		d, err := dist.DecodeDelta(ans.Delta)
+		if err == nil {
+			held.Apply(d)
+		}
+		return err
+	})
+	if err == nil && held.Current() == nil {
+		err = errNoInstance
+	}
+	return held.Current(), err
+}
+
 // Notify implements Instances.
 func (f *Fleet) Notify(ctx context.Context, change conf.Object) (int, error) {
 	ch := admin.Change{Rev: change.Rev}
--- a/ebonyctl/client/platform.go
+++ b/ebonyctl/client/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -47,6 +48,19 @@
 	return rev, out, err
 }
 
+// Get implements Objects.
+func (p *Platform) Get(ctx context.Context, kind conf.Kind, name string) (conf.Object, error) {
+	if len(p.Store.Addrs) == 0 {
+		return conf.Object{}, errNoAPI
+	}
+	o, err := p.Store.Get(ctx, string(kind), name)
+	var missing *store.NotFoundError
+	if errors.As(err, &missing) {
+		return conf.Object{}, fmt.Errorf("%s %q: %w", kind, name, ErrNotFound)
+	}
+	return conf.Object{Kind: kind, Name: name, Rev: o.Rev, Value: o.Value}, err
+}
+
 // Put implements Objects.
 func (p *Platform) Put(ctx context.Context, kind conf.Kind, name string, rev uint64, value []byte, edit string) (uint64, error) {
 	if len(p.Store.Addrs) == 0 {
--- a/ebonyctl/verbs/app.go
+++ b/ebonyctl/verbs/app.go
@@ -27,6 +27,7 @@
 	ExitMissing  = 5
 	ExitUnknown  = 6
 	ExitNotFound = 7
+	ExitLost     = 8
 )
 
 // App is the program; its fields are set before Run.
@@ -43,6 +44,9 @@
 	objects   client.Objects
 	instances client.Instances
 	json      bool
+	// highest is the highest revision of the instances before an edit, 0 if
+	// none answered.
+	highest uint64
 }
 
 type usageError struct{ err error }
@@ -55,20 +59,24 @@
 // NotInForce reports a revision that some places do not have in force, or, with
 // Err, one of which no instance told.
 type NotInForce struct {
-	Rev     uint64
-	Missing []string
-	Err     error
+	Rev uint64
+	client.Progress
+	Err error
 }
 
 // Unwrap returns the cause.
 func (e *NotInForce) Unwrap() error { return e.Err }
 
-// Error names the missing places.
+// Error names some of the missing places and counts the others.
 func (e *NotInForce) Error() string {
 	if e.Err != nil {
 		return fmt.Sprintf("it is not known where revision %d is in force: %v", e.Rev, e.Err)
 	}
-	return fmt.Sprintf("revision %d is not in force on: %v", e.Rev, e.Missing)
+	s := fmt.Sprintf("revision %d is not in force on: %s", e.Rev, strings.Join(e.Missing, ", "))
+	if more := e.Lacking - len(e.Missing); more > 0 {
+		s += fmt.Sprintf(" and %d more", more)
+	}
+	return s
 }
 
 // Run runs one command line and returns the exit code.
@@ -89,6 +97,7 @@
 		missing  *NotInForce
 		unknown  *client.Unknown
 		path     *conf.PathError
+		lost     *StoreLost
 	)
 	switch {
 	case err == nil:
@@ -99,6 +108,8 @@
 		return ExitInvalid
 	case errors.As(err, &conflict):
 		return ExitConflict
+	case errors.As(err, &lost):
+		return ExitLost
 	case errors.As(err, &missing):
 		return ExitMissing
 	case errors.As(err, &unknown):
--- a/ebonyctl/verbs/change.go
+++ b/ebonyctl/verbs/change.go
@@ -38,7 +38,19 @@
 	}
 	var ps conf.Problems
 	st.snap, ps = conf.Build(high, all)
-	return st, ps.Err()
+	return st, hideSecrets(ps).Err()
+}
+
+// settings returns the revision of the newest settings object. The store's own
+// revision also counts the instance list, which instances do not follow.
+func (st *state) settings() uint64 {
+	high := uint64(0)
+	for _, objs := range st.objs {
+		for _, o := range objs {
+			high = max(high, o.Rev)
+		}
+	}
+	return high
 }
 
 // edit makes an edit of the object on top of the state.
@@ -70,6 +82,7 @@
 		return err
 	}
 	ed := st.edit(o)
+	a.readHighest(ctx)
 	if cmd.IsSet("rev") {
 		if ed.Rev = cmd.Uint64("rev"); ed.Rev != st.objs[o.Kind][o.Name].Rev {
 			ed.Base = nil // What the operator saw is not in the store any more.
@@ -89,6 +102,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if rev <= a.highest {
+		return 0, &StoreLost{Rev: rev, Highest: a.highest, Accepted: true}
+	}
 	if !onlyMarks(&ed) {
 		return rev, nil
 	}
@@ -129,18 +145,17 @@
 	end := a.Now().Add(cmd.Duration("timeout"))
 	for {
 		p, err := a.instances.Watch(ctx, rev)
-		if err == nil && len(p.Missing) == 0 {
+		if err == nil && p.Done {
 			done.Progress = p
 			return a.emit(done, func(w *strings.Builder) {
-				fmt.Fprintf(w, "revision %d is in force on %d instances\n", rev, len(p.Reached))
+				fmt.Fprintf(w, "revision %d is in force on %d instances\n", rev, p.Reached)
 			})
 		}
 		if !a.Now().Before(end) {
 			if err != nil {
 				return &NotInForce{Rev: rev, Err: err}
 			}
-			slices.Sort(p.Missing)
-			return &NotInForce{Rev: rev, Missing: p.Missing}
+			return &NotInForce{Rev: rev, Progress: p}
 		}
 		if err := a.Pause(ctx, watchPause); err != nil {
 			return err
--- a/ebonyctl/verbs/fake_test.go
+++ b/ebonyctl/verbs/fake_test.go
@@ -24,6 +24,8 @@
 	rev   uint64
 	objs  map[string]conf.Object
 	count map[string]int
+	// events are all writes in order.
+	events []conf.Object
 	// invalid collects the problems of every state after a write.
 	invalid conf.Problems
 	// before runs ahead of the next PUT. It may hide the answer.
@@ -32,7 +34,9 @@
 
 func (s *standIn) put(kind conf.Kind, name string, value []byte) {
 	s.rev++
-	s.objs[string(kind)+"/"+name] = conf.Object{Kind: kind, Name: name, Rev: s.rev, Value: value}
+	o := conf.Object{Kind: kind, Name: name, Rev: s.rev, Value: value}
+	s.objs[string(kind)+"/"+name] = o
+	s.events = append(s.events, o)
 }
 
 func (s *standIn) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -75,6 +79,7 @@
 		case r.Method == http.MethodDelete:
 			s.rev++
 			delete(s.objs, kind+"/"+name)
+			s.events = append(s.events, conf.Object{Kind: conf.Kind(kind), Name: name, Rev: s.rev, Deleted: true})
 		default:
 			s.put(conf.Kind(kind), name, body)
 		}
@@ -104,18 +109,28 @@
 type fleet struct {
 	missing  []string
 	watchErr error // of every watch
+	high     uint64
+	held     *conf.Snapshot
 	notified []conf.Object
 }
 
 func (f *fleet) Status(context.Context) ([]client.Status, error) {
 	return []client.Status{{Entry: "bole-1", Domain: "bole", Rev: 7, Flows: 30,
-		Servers: map[string]string{"ledger-01": "warm"}, Refused: map[string]uint64{"overloaded": 2}}}, nil
+		Servers: map[string]string{"ledger-01": "warm"}, Refused: map[string]uint64{"overloaded": 2}, FreshMillis: 1500, SkewMillis: new(int64)}}, nil
 }
 
 func (f *fleet) Watch(context.Context, uint64) (client.Progress, error) {
-	return client.Progress{Reached: []string{"bole-1"}, Missing: f.missing}, f.watchErr
+	return client.Progress{Done: len(f.missing) == 0, Reached: 1, Lacking: 3 * len(f.missing), Missing: f.missing}, f.watchErr
 }
 
+func (f *fleet) Counters(context.Context) (map[string]json.RawMessage, error) {
+	return map[string]json.RawMessage{"10.0.0.1:7002": []byte(`{"cmdline":["x"],"memstats":{"Alloc":9},"control":{"pulls":0},"tables":{"flow":{"Notes":41}}}`)}, nil
+}
+
+func (f *fleet) Highest(context.Context) (uint64, error) { return f.high, nil }
+
+func (f *fleet) Settings(context.Context) (*conf.Snapshot, error) { return f.held, nil }
+
 func (f *fleet) Notify(_ context.Context, o conf.Object) (int, error) {
 	f.notified = append(f.notified, o)
 	return 1, nil
--- a/ebonyctl/verbs/read.go
+++ b/ebonyctl/verbs/read.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -35,6 +36,7 @@
 		return err
 	}
 	shown := *st.snap
+	shown.Rev = st.settings()
 	shown.Keys = map[string]conf.Key{}
 	for name, k := range st.snap.Keys {
 		k.Secret = nil
@@ -95,7 +97,19 @@
 		return nil, err
 	}
 	s, ps := conf.DecodeSnapshot(raw)
-	return s, ps.Err()
+	return s, hideSecrets(ps).Err()
+}
+
+// hideSecrets removes the texts that may hold a key's secret from problems of
+// decoding. A secret in a wrong form is often most of a secret.
+func hideSecrets(ps conf.Problems) conf.Problems {
+	for i := range ps {
+		p := &ps[i]
+		if p.Kind == conf.KindSnapshot || p.Kind == conf.KindKey && p.Field != "id" && p.Field != "sealFrom" {
+			p.Value = "(hidden)"
+		}
+	}
+	return ps
 }
 
 func (a *App) validate(_ context.Context, cmd *cli.Command) error {
@@ -127,6 +141,7 @@
 	if err != nil {
 		return err
 	}
+	a.stampMarks(st.snap, s)
 	changes := conf.Diff(st.snap, s)
 	return a.emit(changes, func(w *strings.Builder) {
 		for _, c := range changes {
@@ -141,6 +156,10 @@
 	if err != nil {
 		return usagef("REV is %q, must be a revision number", cmd.Args().First())
 	}
+	a.readHighest(ctx)
+	if err := a.checkStore(ctx); err != nil {
+		return err
+	}
 	return a.follow(ctx, cmd, rev)
 }
 
@@ -149,20 +168,30 @@
 	if err != nil {
 		return fmt.Errorf("status of instances: %w", err)
 	}
-	return a.emit(all, func(w *strings.Builder) {
+	a.readHighest(ctx)
+	lost := a.checkStore(ctx)
+	err = a.emit(all, func(w *strings.Builder) {
 		table(w, func(w *strings.Builder) {
-			fmt.Fprintln(w, "INSTANCE\tDOMAIN\tREV\tFLOWS\tSERVERS\tREFUSALS")
+			fmt.Fprintln(w, "INSTANCE\tDOMAIN\tREV\tFRESH\tSKEW\tFLOWS\tSERVERS\tREFUSALS\tDROPS\tRETRIES\tCLOSES")
 			for _, s := range all {
 				stages := map[string]int{}
 				for _, stage := range s.Servers {
 					stages[stage]++
 				}
-				fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\t%s\n", s.Entry, s.Domain, s.Rev, s.Flows, counts(stages), counts(s.Refused))
+				skew := "-"
+				if s.SkewMillis != nil {
+					skew = millis(*s.SkewMillis)
+				}
+				fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\t%d\t%s\t%s\t%s\t%s\t%s\n", s.Entry, s.Domain, s.Rev, millis(s.FreshMillis), skew,
+					s.Flows, counts(stages), counts(s.Refused), counts(s.Dropped), counts(s.Retried), counts(s.Closed))
 			}
 		})
 	})
+	return errors.Join(lost, err)
 }
 
+func millis(n int64) string { return (time.Duration(n) * time.Millisecond).String() }
+
 func counts[T int | uint64](m map[string]T) string {
 	out := ""
 	for i, n := range sorted(m) {
--- a/ebonyctl/verbs/verbs_test.go
+++ b/ebonyctl/verbs/verbs_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
@@ -125,7 +126,7 @@
 	b.missing = []string{"yeka-2"}
 	begin := b.now
 	_, errs := b.run(ExitMissing, "domain", "in", "bole")
-	contains(t, errs, "yeka-2")
+	contains(t, errs, "yeka-2 and 2 more")
 	assert.Equal(t, b.now.Sub(begin), inForceTime)
 	b.run(ExitMissing, "watch", "3", "--timeout", "1s")
 	b.missing, b.watchErr = nil, errors.New("nobody is there")
@@ -138,7 +139,7 @@
 		contains(t, string(b.objs["server/ledger-01"].Value), `"mark":"`+mark+`"`)
 	}
 	out, _ = b.run(ExitOK, "status")
-	contains(t, out, "bole-1", "warm=1", "overloaded=2")
+	contains(t, out, "bole-1", "1.5s   0s", "warm=1", "overloaded=2")
 }
 
 // Guards against exit codes that differ from the reference.
@@ -219,3 +220,78 @@
 	b.run(ExitNotFound, "server", "move", "nothing", "/utility/archive", "yeka")
 	b.run(ExitUsage, "server", "move", "ledger-03")
 }
+
+// Guards against a mark without the time of its edit, which takes effect on
+// instances before others have heard of it.
+func TestMarkTime(t *testing.T) {
+	b := loaded(t)
+	since := func() string {
+		var d conf.Domain
+		assert.NilError(t, json.Unmarshal(b.objs["domain/bole"].Value, &d))
+		return d.Since.Sub(b.now).String()
+	}
+	for _, step := range []struct {
+		args string
+		want string
+	}{
+		{"domain out bole", "0s"},
+		{"apply " + utility, "0s"}, // The file has the mark in and no time.
+		{"apply " + utility, "-1s"},
+		{"domain in bole", "-2s"}, // Already in.
+		{"domain out bole", "0s"},
+		{"domain in bole", "0s"},
+	} {
+		b.now = b.now.Add(time.Second)
+		b.run(ExitOK, strings.Fields(step.args)...)
+		assert.Equal(t, since(), step.want, step.args)
+	}
+	b.run(ExitOK, "apply", utility)
+	out, _ := b.run(ExitOK, "diff", utility)
+	assert.Equal(t, out, "0 differences\n")
+}
+
+// Guards against keys that are deleted with a file that lacks them, and
+// against a secret that is printed with a problem of its form.
+func TestKeys(t *testing.T) {
+	b := loaded(t)
+	out, _ := b.run(ExitOK, "--output", "json", "tree", "show")
+	file := filepath.Join(t.TempDir(), "file.json")
+	write := func(text string) { assert.NilError(t, os.WriteFile(file, []byte(text), 0o600)) }
+	var s conf.Snapshot
+	assert.NilError(t, json.Unmarshal([]byte(out), &s))
+	s.Keys = nil
+	raw, err := json.Marshal(s)
+	assert.NilError(t, err)
+	write(strings.Replace(string(raw), `"keys":null`, `"keys":{}`, 1))
+	b.run(ExitOK, "apply", "--prune", file)
+	assert.Equal(t, len(b.objs["key/first"].Value) > 0, true)
+	b.run(ExitOK, "apply", "--prune-keys", file)
+	assert.Equal(t, len(b.objs["key/first"].Value), 0)
+	const secret = "MDEyMzQ1Njc4OWFiY2RlZg"
+	for _, text := range []string{`{"keys":{"k":{"id":1,"secret":"` + secret + `!"}}}`, `{"keys":["` + secret + `"]}`, `{"secret":"` + secret + `"}`} {
+		write(text)
+		for _, verb := range []string{"validate", "diff", "apply"} {
+			out, errs := b.run(ExitInvalid, "--output", "json", verb, file)
+			assert.Assert(t, !strings.Contains(out+errs, secret), "%s %s: %s%s", verb, text, out, errs)
+		}
+	}
+	b.put(conf.KindKey, "bad", []byte(`{"id":2,"secret":"`+secret+`!"}`))
+	_, errs := b.run(ExitInvalid, "tree", "show")
+	assert.Assert(t, !strings.Contains(errs, secret), errs)
+}
+
+// Guards against counters of inner tables that are lost, and against output
+// that the runtime's statistics and zeros bury.
+func TestCounters(t *testing.T) {
+	b := newBench(t)
+	for args, want := range map[string]string{
+		"counters":          "10.0.0.1:7002  tables.flow.Notes  41\n",
+		"counters control.": "10.0.0.1:7002  control.pulls  0\n",
+		"counters memstats": "10.0.0.1:7002  memstats.Alloc  9\n",
+	} {
+		out, _ := b.run(ExitOK, strings.Fields(args)...)
+		assert.Equal(t, out, want)
+	}
+	out, _ := b.run(ExitOK, "--output", "json", "counters")
+	contains(t, out, `"Notes": 41`, `"pulls": 0`)
+}
--- a/ebonyctl/verbs/write.go
+++ b/ebonyctl/verbs/write.go
@@ -68,7 +68,9 @@
 		if !ok {
 			return fmt.Errorf("domain %q: %w", name, client.ErrNotFound)
 		}
-		d.Mark = mark
+		if d.Mark != mark {
+			d.Mark, d.Since = mark, a.Now().UTC()
+		}
 		o, err := conf.Encode(conf.KindDomain, name, d)
 		if err != nil {
 			return err
@@ -132,11 +134,13 @@
 	if err != nil {
 		return err
 	}
-	edits, err := a.edits(st, next, cmd.Bool("prune"))
+	a.stampMarks(st.snap, next)
+	edits, err := a.edits(st, next, prunes(cmd))
 	if err != nil {
 		return err
 	}
-	rev := st.snap.Rev
+	a.readHighest(ctx)
+	rev := st.settings()
 	for i, ed := range edits {
 		if rev, err = a.write(ctx, ed); err != nil {
 			return errors.Join(fmt.Errorf("%d of %d objects are written", i, len(edits)), err)
@@ -145,20 +149,42 @@
 	return a.follow(ctx, cmd, rev)
 }
 
+// prunes tells the kinds of objects that apply deletes when the file lacks
+// them. Keys need a flag of their own: files printed by tree show have no
+// keys, and without its key no token opens.
+func prunes(cmd *cli.Command) func(conf.Kind) bool {
+	return func(k conf.Kind) bool {
+		if k == conf.KindKey {
+			return cmd.Bool("prune-keys")
+		}
+		return cmd.Bool("prune")
+	}
+}
+
+// edits lists what turns the store into next and checks the result.
+func (a *App) edits(st *state, next *conf.Snapshot, prune func(conf.Kind) bool) ([]client.Edit, error) {
+	out, goal, err := st.edits(next, prune)
+	if err != nil {
+		return nil, err
+	}
+	return out, a.check(st, goal)
+}
+
 // edits lists what turns the store into next, in an order that is valid after
-// every step. Without prune, objects that next lacks are kept.
-func (a *App) edits(st *state, next *conf.Snapshot, prune bool) ([]client.Edit, error) {
+// every step, and returns the settings after the last. Objects that next lacks
+// are kept, but for the kinds that prune names.
+func (st *state) edits(next *conf.Snapshot, prune func(conf.Kind) bool) ([]client.Edit, *conf.Snapshot, error) {
 	differs := map[[2]string]bool{}
 	for _, c := range conf.Diff(st.snap, next) {
 		differs[[2]string{string(c.Kind), c.Name}] = true
 	}
 	puts, err := next.Objects()
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	olds, err := st.snap.Objects()
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	slices.Reverse(olds) // Objects that refer to others are deleted first.
 	listed := map[[2]string]bool{}
@@ -180,12 +206,9 @@
 		}
 	}
 	for _, o := range olds {
-		if prune && !listed[[2]string{string(o.Kind), o.Name}] {
+		if prune(o.Kind) && !listed[[2]string{string(o.Kind), o.Name}] {
 			err = errors.Join(err, add(conf.Object{Kind: o.Kind, Name: o.Name, Deleted: true}))
 		}
 	}
-	if err != nil {
-		return nil, err
-	}
-	return out, a.check(st, goal)
+	return out, goal, err
 }
--- a/pkg/admin/types.go
+++ b/pkg/admin/types.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"ebonypaddle/pkg/conf"
@@ -14,6 +15,11 @@
 	statusPath = "/ebonypaddle.Operator/Status"
 	watchPath  = "/ebonypaddle.Operator/Watch"
 	notifyPath = "/ebonypaddle.Operator/Notify"
+	// countersPath serves counters over plain HTTP, where monitoring looks for
+	// them.
+	countersPath = "/debug/vars"
+	// settingsPath gives operators the settings that the instance holds.
+	settingsPath = "/ebonypaddle.Operator/Settings"
 )
 
 const (
@@ -35,6 +41,9 @@
 	Delta []byte
 }
 
+// SettingsRequest asks for the settings that the instance holds.
+type SettingsRequest struct{}
+
 // StatusRequest asks for the state of the instance.
 type StatusRequest struct{}
 
@@ -46,8 +55,13 @@
 	Domain     string
 	Rev        uint64
 	CrossUntil time.Time
-	ClockSkew  time.Duration
-	Members    []Member
+	// FreshFor is the time left until CrossUntil by the instance's own clock.
+	// At 0 it serves the servers of its own domain only.
+	FreshFor time.Duration
+	// ClockSkew is how far the median of the members' clocks is ahead of this
+	// instance's, nil while no member answered.
+	ClockSkew *time.Duration
+	Members   []Member
 	// Servers holds the lifecycle state of each backend server by name.
 	Servers map[string]string
 	// Flows counts the flows this instance opened.
@@ -71,21 +85,41 @@
 
 // Progress tells where a revision is not in force yet.
 type Progress struct {
-	Rev     uint64
+	Rev uint64
+	// Highest is the highest revision in force on any instance of the half
+	// that the answering one does not take for dead.
+	Highest uint64
 	Done    bool
-	Reached []string
+	// InForce and Lacking count the places where the revision is in force and
+	// where it is not. An instance of an older version leaves them at 0, so
+	// only Done says that no place lacks it.
+	InForce, Lacking int
+	// Missing names at most MaxMissing of those where it is not.
 	Missing []string
 }
 
+// MaxMissing bounds the names in one Progress. The names of all 13,000 places
+// would take 260 KB a message.
+const MaxMissing = 20
+
 // Add records one place.
 func (p *Progress) Add(place string, reached bool) {
 	if reached {
-		p.Reached = append(p.Reached, place)
-	} else {
+		p.InForce++
+		return
+	}
+	p.Lacking++
+	if len(p.Missing) < MaxMissing {
 		p.Missing = append(p.Missing, place)
 	}
 }
 
+// Same reports whether q tells nothing new.
+func (p *Progress) Same(q *Progress) bool {
+	return p.Rev == q.Rev && p.Highest == q.Highest && p.Done == q.Done &&
+		p.InForce == q.InForce && p.Lacking == q.Lacking && slices.Equal(p.Missing, q.Missing)
+}
+
 // Change is an accepted edit that the operators' client hands over directly.
 type Change struct {
 	Rev    uint64
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -46,7 +46,7 @@
 	// Stats counts by reason; Counters counts the rest.
 	Stats    *stats.Counters
 	Counters *Counters
-	// Debug serves the published counters; it may be nil.
+	// Debug serves the published counters to operators; it may be nil.
 	Debug http.Handler
 
 	mu     sync.Mutex
@@ -82,8 +82,9 @@
 		wg.Wait()
 		return err
 	}
-	d.announce(run, stateLive)
+	stopAnnouncing := d.announceLive(run)
 	<-ctx.Done()
+	stopAnnouncing()
 	d.leave(run)
 	cancel()
 	d.close()
