ebonyctl: let the virtual pause of the tests end with its context

Cause: the linter reports that the pause never fails. Change: it returns the error of its context, as the real one does. Ruled out: an exception for the linter. Conclusion: make lint and make format pass.

--- a/ebonyctl/verbs/fake_test.go
+++ b/ebonyctl/verbs/fake_test.go
@@ -141,7 +141,7 @@
 }
 
 func (b *bench) app() *App {
-	pause := func(_ context.Context, d time.Duration) error { b.now = b.now.Add(d); return nil }
+	pause := func(ctx context.Context, d time.Duration) error { b.now = b.now.Add(d); return ctx.Err() }
 	return &App{
 		Out: &b.out, Err: &b.err, Rand: rand.New(rand.NewPCG(1, 2)),
 		Now:   func() time.Time { return b.now },
