member: fill heartbeats with updates while the queue is long

Cause: a heartbeat carried five news whatever its size, so the queue of a fleet in which many members change at once drained slowly. Extra probes to suspect and dead members, which mostly get no answer, used up turns of the queue.

Change: news fill a heartbeat up to 800 encoded bytes, less the hint it carries. Probes that come on top of the regular ones are filled up to 250 bytes. Sizes of updates are computed as they are encoded, so that a hint of 22 failure domains and long names still fit into wire.MaxPeer.

Ruled out: asking through another member before suspecting.

TestHeartbeatSize: without the limit of room it failed with 1,303 bytes and 27 updates and with 1,627 to 1,989 bytes that exceed wire.MaxPeer; with five news a message it failed with 433 bytes while news wait; with the revision left out of the size it failed with 43 != 42.

--- a/pkg/member/gossip.go
+++ b/pkg/member/gossip.go
@@ -3,12 +3,21 @@
 import (
 	"math/bits"
 	"net/netip"
+
+	"ebonypaddle/pkg/wire"
 )
 
 const (
-	// maxUpdates bounds a heartbeat well below wire.MaxPeer and keeps four
-	// heartbeats a second below 5 KB.
-	maxUpdates = 8
+	// maxBody is the encoded size in bytes up to which updates fill a
+	// heartbeat. Four heartbeats a second stay below 4 KB with it, which
+	// leaves room for settings and stages in the 5 KB a second for control,
+	// and a hint of 22 failure domains below wire.MaxPeer.
+	maxBody = 800
+	// extraBody replaces maxBody in probes to members that did not answer:
+	// they come on top of the four, and news sent there mostly are lost.
+	extraBody = 250
+	// maxNewsSent leaves room below maxReceived for the other updates.
+	maxNewsSent = maxReceived - maxFill - 2
 	// maxFill bounds updates that repeat what is not new. They repair tables
 	// that missed an update and carry applied revisions.
 	maxFill = 3
@@ -38,32 +47,50 @@
 	}
 }
 
-// updates returns what a heartbeat to a member carries: what is held against
-// that member first, then news, then repeats.
-func (t *Table) updates(to netip.AddrPort) []Update {
-	out := make([]Update, 0, maxUpdates+1)
+// updates returns what a heartbeat to a member carries in a body of the given
+// size: what is held against that member first, then news, then repeats. The
+// hint is the one that the heartbeat carries.
+func (t *Table) updates(to netip.AddrPort, body int, hint *wire.Hint) []Update {
+	room := body - envelopeSize - size(&t.me) - hintSize(hint)
+	out := make([]Update, 0, maxReceived)
 	if m := t.members[to]; m != nil && m.Incarnation > 0 && m.State >= Suspect {
 		out = append(out, m.Update)
+		room -= size(&m.Update)
 	}
-	n := min(len(t.news), maxUpdates-maxFill)
-	keep := make([]item, 0, n)
-	for _, it := range t.news[:n] {
+	out, room = t.addNews(out, to, room-maxFill*size(&t.me))
+	return t.fillUp(out, to, room+maxFill*size(&t.me))
+}
+
+// addNews appends news while they fit and returns the room that is left. One
+// goes out even when none fits, so that a large hint cannot stop the spread.
+func (t *Table) addNews(out []Update, to netip.AddrPort, room int) ([]Update, int) {
+	keep, n := make([]item, 0, min(len(t.news), maxNewsSent)), 0
+	for _, it := range t.news[:min(len(t.news), maxNewsSent)] {
 		if u, ok := t.lookup(it.addr); ok && it.addr != to {
-			out = append(out, u)
+			need := size(&u)
+			if n > 0 && need > room {
+				break
+			}
+			out, room = append(out, u), room-need
 		}
+		n++
 		if it.left--; it.left > 0 {
 			keep = append(keep, it)
 		}
 	}
 	// The queue turns, so that each update waits its turn in a burst.
 	t.news = append(t.news[:copy(t.news, t.news[n:])], keep...)
-	return t.fillUp(out, to)
+	return out, room
 }
 
-func (t *Table) fillUp(out []Update, to netip.AddrPort) []Update {
+func (t *Table) fillUp(out []Update, to netip.AddrPort, room int) []Update {
 	for range min(maxFill, len(t.order)) {
+		m := t.order[(t.fill+1)%len(t.order)]
+		if room -= size(&m.Update); room < 0 {
+			break
+		}
 		t.fill = (t.fill + 1) % len(t.order)
-		if m := t.order[t.fill]; m.Incarnation > 0 && m.Addr != to {
+		if m.Incarnation > 0 && m.Addr != to {
 			out = append(out, m.Update)
 		}
 	}
--- a/pkg/member/probe.go
+++ b/pkg/member/probe.go
@@ -31,7 +31,7 @@
 	}
 	t.due = now.Add(ProbeEvery)
 	if a, ok := t.nextLive(); ok {
-		t.probe(now, a, out)
+		t.probe(now, a, maxBody, out)
 	}
 	t.probeSuspect(now, out)
 	if !now.Before(t.deadDue) {
@@ -39,7 +39,7 @@
 		// from probing in step.
 		t.deadDue = now.Add(deadEvery/2 + time.Duration(t.Rand.Int64N(int64(deadEvery))))
 		if a, ok := t.anyDead(); ok {
-			t.probe(now, a, out)
+			t.probe(now, a, extraBody, out)
 		}
 	}
 }
@@ -97,7 +97,7 @@
 			continue
 		}
 		t.pending[i].again = now.Add(repeatEvery)
-		t.probe(now, p.to, out)
+		t.probe(now, p.to, extraBody, out)
 		t.pending[len(t.pending)-1].again = time.Time{}
 	}
 }
@@ -146,7 +146,7 @@
 // takes the latest suspect, because the older ones were asked before.
 func (t *Table) probeSuspect(now time.Time, out *wire.Outbox) {
 	if n := len(t.suspect); n > 0 {
-		t.probe(now, t.suspect[n-1].Addr, out)
+		t.probe(now, t.suspect[n-1].Addr, extraBody, out)
 	}
 }
 
@@ -164,9 +164,9 @@
 	return netip.AddrPort{}, false
 }
 
-func (t *Table) probe(now time.Time, to netip.AddrPort, out *wire.Outbox) {
+func (t *Table) probe(now time.Time, to netip.AddrPort, body int, out *wire.Outbox) {
 	nonce := t.Rand.Uint64()
 	t.pending = append(t.pending, probe{nonce: nonce, to: to, sent: now, again: now.Add(repeatEvery)})
 	t.Counters.Probes++
-	out.Peer(to, wire.PeerHeartbeat, Message{Nonce: nonce, Self: t.me, Updates: t.updates(to)})
+	out.Peer(to, wire.PeerHeartbeat, Message{Nonce: nonce, Self: t.me, Updates: t.updates(to, body, &wire.Hint{})})
 }
--- a/pkg/member/receive.go
+++ b/pkg/member/receive.go
@@ -37,10 +37,11 @@
 }
 
 func (t *Table) answer(now time.Time, to netip.AddrPort, nonce uint64, known bool, out *wire.Outbox) {
-	ack := Message{Nonce: nonce, Ack: true, Self: t.me, Clock: now.UnixMilli(), Updates: t.updates(to)}
+	ack := Message{Nonce: nonce, Ack: true, Self: t.me, Clock: now.UnixMilli()}
 	if t.Hints != nil {
 		ack.Hint = t.Hints.Hint(now)
 	}
+	ack.Updates = t.updates(to, maxBody, &ack.Hint)
 	if m := t.members[to]; !known && m.State < Suspect {
 		// A restarted process with a lower incarnation overtakes the old one.
 		ack.Updates = append(ack.Updates, m.Update)
--- a/pkg/member/table_test.go
+++ b/pkg/member/table_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
 	"ebonypaddle/pkg/wire"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
@@ -123,7 +126,7 @@
 	l := newLossy(t, 2, 1, 0)
 	l.run(3 * time.Second)
 	n, out := l.nodes[0], wire.Outbox{}
-	n.probe(l.Now, addr(1), &out)
+	n.probe(l.Now, addr(1), maxBody, &out)
 	m := out.Sends[0].Peer.Body.(Message)
 	ack := Message{Nonce: m.Nonce, Ack: true, Self: l.nodes[1].Me()}
 	acks := n.Counters.Acks
@@ -133,6 +136,39 @@
 	assert.Equal(t, n.Counters.UnknownNonce, uint64(1))
 }
 
+// Guards against heartbeats that no datagram holds, and against updates that
+// wait although a heartbeat has room for them.
+func TestHeartbeatSize(t *testing.T) {
+	for name, h := range map[string]Hinter{"no hint": nil, "hint": &allDomains{}} {
+		for _, wide := range []int{0, 12} {
+			t.Run(fmt.Sprint(name, wide), func(t *testing.T) {
+				l, out := newLossy(t, 1, 1, 0), wire.Outbox{}
+				n := l.nodes[0]
+				n.Hints = h
+				for i := range 100 {
+					ip := netip.AddrFrom16([16]byte{0xfd, 15: byte(i)})
+					u := Update{Addr: netip.AddrPortFrom(ip, 7000), Domain: strings.Repeat("d", 10+wide), Incarnation: uint64(epoch.UnixMilli()), State: Alive, Revision: 1 << (i % 40)}
+					n.merge(epoch, u, false)
+				}
+				n.Receive(epoch, addr(1), Message{Self: Update{Addr: addr(1), Incarnation: 1, State: Alive}}, &out)
+				us := out.Sends[0].Peer.Body.(Message).Updates
+				for i := range us {
+					b, err := cbor.Marshal(us[i])
+					assert.NilError(t, err)
+					assert.Equal(t, len(b), size(&us[i]))
+				}
+				b, err := l.sealer.Seal(out.Sends[0].Peer)
+				assert.NilError(t, err)
+				const seal = 29
+				assert.Assert(t, len(b) <= maxBody+seal && len(us) <= maxReceived, "%d bytes, %d updates", len(b), len(us))
+				if h == nil {
+					assert.Assert(t, len(b) > maxBody*4/5, "%d bytes while news wait", len(b))
+				}
+			})
+		}
+	}
+}
+
 // Guards against an offset that one wrong peer or the delay moves.
 func TestClockSkew(t *testing.T) {
 	n := newLossy(t, 1, 1, 0).nodes[0]
