ebonyctl: raise the revision with a leaf node

Cause: `store forward` wrote the root node again to raise the revision. Every service inherits from it, so instances resolve all of them again, and the stand-in of the object API answers 404 for the name "/", which a trial on loopback met as exit code 7.

Change: the last node in order is written again as it is.

Ruled out: an object of another kind. Instances take none, and the instance list is the fabric's.

Before, TestStoreForward with the first node: "every service inherits from the root node".

--- a/ebonyctl/verbs/forward.go
+++ b/ebonyctl/verbs/forward.go
@@ -81,6 +81,11 @@
 	if err := conf.Problems(conf.Validate(goal)).Err(); err != nil {
 		return 0, err
 	}
+	nodes := sorted(goal.Nodes)
+	if len(nodes) == 0 {
+		return 0, fmt.Errorf("the instances hold no node: %w", client.ErrNotFound)
+	}
+	leaf := nodes[len(nodes)-1] // The last in order has no child that inherits.
 	edits, _, err := st.edits(goal, func(conf.Kind) bool { return true })
 	if err != nil {
 		return 0, err
@@ -92,18 +97,18 @@
 			return 0, fmt.Errorf("%d of %d objects are written: %w", i, len(edits), err)
 		}
 	}
-	return a.putInForce(ctx, e, rev, held, kept)
+	return a.putInForce(ctx, e, rev, held, leaf, kept)
 }
 
 // putInForce raises the store's revision from rev above the one held, by
-// writing the root node again as it is, and rewrites the kept objects there.
-func (a *App) putInForce(ctx context.Context, e *client.Editor, rev uint64, held *conf.Snapshot, kept []conf.Object) (uint64, error) {
+// writing one node again as it is, and rewrites the kept objects there.
+func (a *App) putInForce(ctx context.Context, e *client.Editor, rev uint64, held *conf.Snapshot, leaf string, kept []conf.Object) (uint64, error) {
 	for rev <= held.Rev {
-		root, err := a.objects.Get(ctx, conf.KindNode, "/")
+		n, err := a.objects.Get(ctx, conf.KindNode, leaf)
 		if err != nil {
-			return 0, fmt.Errorf("node /, which is written again to raise the revision: %w", err)
+			return 0, fmt.Errorf("node %q, which is written again to raise the revision: %w", leaf, err)
 		}
-		if rev, err = e.Apply(ctx, &client.Edit{Kind: root.Kind, Name: root.Name, Rev: root.Rev, Base: root.Value, Value: root.Value}); err != nil {
+		if rev, err = e.Apply(ctx, &client.Edit{Kind: n.Kind, Name: n.Name, Rev: n.Rev, Base: n.Value, Value: n.Value}); err != nil {
 			return 0, err
 		}
 	}
--- a/ebonyctl/verbs/lost.go
+++ b/ebonyctl/verbs/lost.go
@@ -17,14 +17,14 @@
 
 // Error says what is not in force and how to repair it.
 func (e *StoreLost) Error() string {
-	what := fmt.Sprintf("the store is at revision %d", e.Rev)
+	what := fmt.Sprintf("the store is at revision %d, but", e.Rev)
 	switch {
 	case e.Accepted:
-		what = fmt.Sprintf("the edit was accepted at revision %d and is not in force", e.Rev)
+		what = fmt.Sprintf("the edit was accepted at revision %d and is not in force, because", e.Rev)
 	case e.Rev > e.Highest:
 		return fmt.Sprintf("the store, at revision %d, differs from what the instances hold at %d", e.Rev, e.Highest)
 	}
-	return fmt.Sprintf("%s, but instances hold revision %d: the store lost changes; see ebonyctl store forward", what, e.Highest)
+	return fmt.Sprintf("%s instances hold revision %d: the store lost changes; see ebonyctl store forward", what, e.Highest)
 }
 
 // readHighest reads the instances' revisions. It runs before an edit: the
--- a/ebonyctl/verbs/lost_test.go
+++ b/ebonyctl/verbs/lost_test.go
@@ -83,6 +83,7 @@
 			b.events = nil
 			b.run(ExitOK, append([]string{"store", "forward", "--write"}, tc.args...)...)
 			assert.Assert(t, b.rev > b.high)
+			assert.Assert(t, b.objs["node//"].Rev < b.high, "every service inherits from the root node")
 			assert.Equal(t, b.value("/utility", "slots"), tc.slots)
 			s := b.instances()
 			assert.Equal(t, string(s.Domains["bole"].Mark), tc.mark)
