ebonyctl: notice a store that lost changes on an apply without edits

Cause: `apply` of a file that equals the restored store wrote nothing, so no accepted revision was compared, and it reported the store's revision as in force. After an edit that was accepted too low, it also counted one object too few as written. The highest revision of members had no test of its own.

Change: without edits, `apply` compares the store's revision as `watch` does, and the count includes the edit that was accepted too low.

Ruled out: comparing the store's revision before every edit. A lagging replica would delay each edit by the repeated reads.

Before, TestStoreLost/apply: "revision 29 is in force on 1 instances". After: exit code 8. TestProgressHighest without the members: 6 for an alive one at 90; after: 90, and 6 when it is dead.

Conclusion: no command calls settings in force that the instances do not hold.

--- a/ebonyctl/verbs/lost_test.go
+++ b/ebonyctl/verbs/lost_test.go
@@ -46,14 +46,17 @@
 // Guards against an edit of a restored store that is called in force although
 // instances ignore it.
 func TestStoreLost(t *testing.T) {
-	for _, args := range []string{"domain out kirkos", "node set /utility slots=4", "watch 3", "status", "apply --prune " + utility} {
+	for _, args := range []string{"domain out kirkos", "node set /utility slots=4", "watch 3", "status", "apply " + utility, "apply --prune " + utility} {
 		t.Run(args, func(t *testing.T) {
 			b := restored(t)
-			if strings.HasPrefix(args, "apply") {
+			if strings.HasPrefix(args, "apply --prune") {
 				b.put(conf.KindNode, "/extra", []byte(`{"path":"/extra","generation":9,"values":{}}`))
 			}
 			_, errs := b.run(ExitLost, strings.Fields(args)...)
 			contains(t, errs, "lost changes")
+			if strings.HasPrefix(args, "apply --prune") {
+				contains(t, errs, "1 of 1 objects are written")
+			}
 			assert.Equal(t, len(b.notified), 0)
 			b.high = b.rev
 			b.run(ExitOK, strings.Fields(args)...)
--- a/ebonyctl/verbs/write.go
+++ b/ebonyctl/verbs/write.go
@@ -140,9 +140,17 @@
 		return err
 	}
 	a.readHighest(ctx)
+	if len(edits) == 0 {
+		if err := a.checkStore(ctx); err != nil {
+			return err
+		}
+	}
 	rev := st.settings()
 	for i, ed := range edits {
 		if rev, err = a.write(ctx, ed); err != nil {
+			if lost := (*StoreLost)(nil); errors.As(err, &lost) {
+				i++ // This one is written as well.
+			}
 			return errors.Join(fmt.Errorf("%d of %d objects are written", i, len(edits)), err)
 		}
 	}
--- a/pkg/daemon/watch_test.go
+++ b/pkg/daemon/watch_test.go
@@ -11,6 +11,8 @@
 
 	"ebonypaddle/pkg/admin"
 	"ebonypaddle/pkg/conf"
+	"ebonypaddle/pkg/member"
+	"ebonypaddle/pkg/wire"
 )
 
 // watched returns a daemon whose settings have 13,000 places in its half, of
@@ -49,6 +51,21 @@
 	assert.Assert(t, len(b) < 1000, len(b))
 }
 
+// Guards against an edit below the revision of another instance that is called
+// in force, and against one that waits for a dead instance.
+func TestProgressHighest(t *testing.T) {
+	for state, want := range map[member.State]uint64{member.Alive: 90, member.Suspect: 90, member.Dead: 6} {
+		d := watched(t)
+		peer := d.settings().Domains["a"].Entries[1].Peer
+		u := member.Update{Addr: peer, Domain: "a", Incarnation: 1, State: member.Alive, Revision: 90}
+		d.core.Members.Receive(begin, peer, member.Message{Self: u}, &wire.Outbox{})
+		u.State = state
+		other := member.Update{Addr: d.settings().Domains["a"].Entries[2].Peer, Domain: "a", Incarnation: 1, State: member.Alive}
+		d.core.Members.Receive(begin, other.Addr, member.Message{Self: other, Updates: []member.Update{u}}, &wire.Outbox{})
+		assert.Equal(t, d.progress(6).Highest, want, state.String())
+	}
+}
+
 // Guards against a watch that repeats what it said.
 func TestWatchSendsChanges(t *testing.T) {
 	d := watched(t)
