emul/proof: edits that reach a failure domain through peers only

Cause: with push and pull between instances disabled nothing failed reliably, because two readers a domain are all its instances here. Change: the scenario editsByPeers keeps one failure domain from the platform. The checks of a frame are split, and the unused flag for callers without token is gone. Ruled out: more instances, which make every test slower.

--- a/emul/proof/bench_test.go
+++ b/emul/proof/bench_test.go
@@ -41,7 +41,7 @@
 	for range b.N {
 		w := warmed(b, 7)
 		w.loss, w.rate = 0, 20
-		w.addFlows(100, false)
+		w.addFlows(100)
 		w.run(20 * time.Second)
 		w.after(5*time.Second, func() { w.plat.markDomain("a", conf.MarkOut) })
 		w.after(20*time.Second, func() { w.domainIn("a") })
--- a/emul/proof/caller_test.go
+++ b/emul/proof/caller_test.go
@@ -20,7 +20,6 @@
 type flow struct {
 	id              uint64
 	caller, service netip.AddrPort
-	stateless       bool
 	token           []byte
 	host            *host
 	opened          bool
@@ -34,15 +33,12 @@
 	if kind == wire.KindData {
 		f.Body = body.Data(body.Keepalive, fl.seq)
 	}
-	if fl.stateless {
-		f.Flags = wire.FlagStateless
-	}
 	return wire.Packet{Caller: fl.caller, Service: fl.service, Frame: f}
 }
 
-func (w *world) addFlows(n int, stateless bool) {
+func (w *world) addFlows(n int) {
 	for range n {
-		fl := &flow{stateless: stateless}
+		fl := &flow{}
 		w.flows = append(w.flows, fl)
 		fl.renew(w)
 	}
@@ -51,7 +47,7 @@
 func (fl *flow) renew(w *world) {
 	id := w.rnd.Uint64()
 	*fl = flow{
-		id: id, caller: addr(7, 1+int(id%200)), service: addr(8, 1+int(id>>8)%2), stateless: fl.stateless,
+		id: id, caller: addr(7, 1+int(id%200)), service: addr(8, 1+int(id>>8)%2),
 		began: w.now, heard: w.now,
 	}
 }
@@ -106,7 +102,7 @@
 }
 
 func (fl *flow) receive(w *world, f *wire.Frame) {
-	if f.Kind == wire.KindOpened && !fl.opened && (f.Token != nil) != fl.stateless {
+	if f.Kind == wire.KindOpened && !fl.opened {
 		fl.opened, fl.began, fl.heard = true, w.now, w.now
 		if fl.host = w.hostOf(f); fl.host == nil {
 			w.fault("flow %x opened on unknown server %d", fl.id, f.Server)
--- a/emul/proof/inst_test.go
+++ b/emul/proof/inst_test.go
@@ -195,7 +195,7 @@
 		return
 	}
 	if rev == 0 {
-		in.pull(func(o *inst) bool { return true })
+		in.pull(func(*inst) bool { return true })
 		if w.now.Sub(in.began) < time.Duration(w.rnd.Int64N(int64(2*time.Second))) {
 			return
 		}
--- a/emul/proof/proof_test.go
+++ b/emul/proof/proof_test.go
@@ -34,7 +34,7 @@
 func warmed(t testing.TB, seed uint64) *world {
 	w := newWorld(t, seed)
 	w.run(8 * time.Second)
-	w.addFlows(20, false)
+	w.addFlows(20)
 	w.run(4 * time.Second)
 	return w
 }
@@ -158,7 +158,7 @@
 	// old settings, and while another one is paused.
 	{"moveWhileCut", func(w *world) {
 		h := w.all[w.rnd.IntN(3)]
-		w.addFlows(40, false)
+		w.addFlows(40)
 		w.run(3 * time.Second)
 		old := w.frameOn(h)
 		w.cut[h.domain] = true
@@ -249,13 +249,22 @@
 			w.plat.addServer(domains[i%2], "/h/order", addr(4, 90+i))
 		}
 		for range 30 {
-			w.addFlows(4, false)
+			w.addFlows(4)
 			w.run(100 * time.Millisecond)
 		}
 		delete(w.mute, "c")
 		w.run(10 * time.Second)
 		w.expect(w.score.broken == 0, "%d flows broke", w.score.broken)
 	}},
+	// A failure domain that cannot reach the platform gets edits from peers.
+	{"editsByPeers", func(w *world) {
+		w.away["c"] = true
+		for i := range 6 {
+			w.plat.markServer("a-s1", []conf.Mark{conf.MarkLeaving, conf.MarkIn}[i%2])
+			w.run(2 * time.Second)
+		}
+		w.run(inForce)
+	}},
 	// Every instance restarts at once.
 	{"restartAll", func(w *world) {
 		for _, in := range w.insts {
--- a/emul/proof/world_test.go
+++ b/emul/proof/world_test.go
@@ -188,25 +188,41 @@
 	if f.Kind != wire.KindProbe && (f.Service != h.Service || f.Server != h.ID || f.Generation != h.Generation) {
 		w.fault("wrong service: %s is for service %d server %d", what, f.Service, f.Server)
 	}
-	excused := from.domain == h.domain && w.now.Sub(from.rough) < inForce
+	w.checkMarks(from, h, what, work)
+	w.checkCold(h, what, f.Kind == wire.KindRequest)
+}
+
+// checkMarks applies what operators said of the server and its failure domain.
+// An instance inside the domain that was cut off or paused of late is excused.
+func (w *world) checkMarks(from *inst, h *host, what string, work bool) {
+	if from.domain == h.domain && w.now.Sub(from.rough) < inForce {
+		return
+	}
 	dom := w.plat.last().Domains[h.domain]
-	if dom.Mark == conf.MarkOut && w.now.Sub(dom.Since) > inForce && !excused {
+	if dom.Mark == conf.MarkOut && w.now.Sub(dom.Since) > inForce {
 		w.fault("domain out: %s after %v", what, w.now.Sub(dom.Since))
 	}
 	rec := w.plat.last().Servers[h.name]
-	if work && rec.Mark != conf.MarkIn && w.now.Sub(rec.Since) > inForce && !excused {
+	if work && rec.Mark != conf.MarkIn && w.now.Sub(rec.Since) > inForce {
 		w.fault("leaving server: %s after %v", what, w.now.Sub(rec.Since))
 	}
+}
+
+// checkCold applies the limit of a server in cold start.
+func (w *world) checkCold(h *host, what string, request bool) {
 	if h.Health(w.now) != "cold" {
 		h.blind = false
-	} else if f.Kind == wire.KindRequest {
-		n := int(h.Load(w.now).InFlight)
-		if n >= h.ColdSlots && h.blind {
-			h.blind, h.shown = false, w.now
-		}
-		if n >= h.ColdSlots && w.now.Sub(h.shown) > detectCold {
-			w.fault("cold start: %s with %d in progress of %d", what, n, h.ColdSlots)
-		}
+		return
+	}
+	n := int(h.Load(w.now).InFlight)
+	if !request || n < h.ColdSlots {
+		return
+	}
+	if h.blind {
+		h.blind, h.shown = false, w.now
+	}
+	if w.now.Sub(h.shown) > detectCold {
+		w.fault("cold start: %s with %d in progress of %d", what, n, h.ColdSlots)
 	}
 }
 
