scripts: end a run whose addresses are taken

Cause: two runs at a time use the same loopback addresses. The daemons of the second could not open them and ended, but its callers loaded the services of the first, which then failed: 320 flows instead of 160, and once-only requests with equal identifiers ran two or three times. Change: a run ends when one of its processes has ended after the start, and shows the last line of its log. Before: the second run went on. After: it ends within 1 s and names the address, and the first run goes on.

--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -117,6 +117,20 @@
   spawn fabric "$bin/ebonyemu" fabric "${args[@]}" --inside "$inside" --http "$fabric"
   EBONYCTL_OPERATOR_KEY=$(plan --print operator-key)
   export EBONYCTL_API=http://$api EBONYCTL_INSTANCE=${list#,} EBONYCTL_OPERATOR_KEY
+  all_run
+}
+
+# all_run fails when a process has ended, for instance because another run has
+# its addresses. The two runs would load each other's services.
+all_run() {
+  local name
+  nap 0.5
+  for name in "${!pid[@]}"; do
+    if ! kill -0 "${pid[$name]}" 2>/dev/null; then
+      say "$name has ended: $(tail -n 1 "$work/$name.log")"
+      return 1
+    fi
+  done
 }
 
 start_instance() { spawn "$1" "$bin/ebonyd" run --config "$work/$1.json"; }
