server: let a dead server lose its confirmation within the identity TTL

A confirmation lasted 6 s while the instance was fresh, so a server that was back 3 s after its death still counted as the warm one it had been. Change: the factor is two, and two unanswered probes end the longer time, so a dead server is unconfirmed after the identity TTL as before. Relayed requests are counted apart from control bytes. Ruled out: lost updates about the fall; each instance that hears tells all others. Conclusion: a longer confirmation must not outlive a server process.

--- a/pkg/daemon/counter.go
+++ b/pkg/daemon/counter.go
@@ -4,9 +4,11 @@
 
 // Counters count what the shell does.
 type Counters struct {
-	// PeerBytesIn and PeerBytesOut are the bytes of control datagrams between
-	// instances, ProbeBytesOut those of probes to backend servers.
-	PeerBytesIn, PeerBytesOut, ProbeBytesOut atomic.Uint64
+	// PeerBytesIn counts all bytes from instances. PeerBytesOut are those of
+	// control datagrams to instances, RelayBytesOut those of callers' requests
+	// relayed to the owners of their tickets, ProbeBytesOut those of probes to
+	// backend servers.
+	PeerBytesIn, PeerBytesOut, RelayBytesOut, ProbeBytesOut atomic.Uint64
 	// Pulls, PullErrors, Reads and ReadErrors count exchanges of settings
 	// with peers and with the object API.
 	Pulls, PullErrors, Reads, ReadErrors atomic.Uint64
@@ -21,7 +23,7 @@
 // Map returns the counters by name.
 func (c *Counters) Map() map[string]uint64 {
 	return map[string]uint64{
-		"peerBytesIn": c.PeerBytesIn.Load(), "peerBytesOut": c.PeerBytesOut.Load(), "probeBytesOut": c.ProbeBytesOut.Load(),
+		"peerBytesIn": c.PeerBytesIn.Load(), "peerBytesOut": c.PeerBytesOut.Load(), "probeBytesOut": c.ProbeBytesOut.Load(), "relayBytesOut": c.RelayBytesOut.Load(),
 		"pulls": c.Pulls.Load(), "pullErrors": c.PullErrors.Load(),
 		"reads": c.Reads.Load(), "readErrors": c.ReadErrors.Load(),
 		"settingsRefused": c.SettingsRefused.Load(), "settingsRegressed": c.SettingsRegressed.Load(),
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -236,7 +236,12 @@
 		d.log.Error("control message not sent", "to", s.To, "err", err)
 		return err
 	}
-	d.Counters.PeerBytesOut.Add(uint64(len(b)))
+	// A relayed request is a caller's packet on its way, not control.
+	if s.Peer.Kind == wire.PeerRelay || s.Peer.Kind == wire.PeerRelayAck {
+		d.Counters.RelayBytesOut.Add(uint64(len(b)))
+	} else {
+		d.Counters.PeerBytesOut.Add(uint64(len(b)))
+	}
 	_, err = d.peer.WriteToUDPAddrPort(b, s.To)
 	return err
 }
--- a/pkg/server/table.go
+++ b/pkg/server/table.go
@@ -207,8 +207,11 @@
 // freshFactor is by how much a confirmation lasts longer while this instance is
 // fresh. An address that serves another service was removed from the settings
 // at least the quarantine of 10 s before, which a fresh instance knows; the
-// identity TTL alone protects an instance that may not know.
-const freshFactor = 3
+// identity TTL alone protects an instance that may not know. With a factor of
+// two, a server that dies is unconfirmed after the identity TTL all the same,
+// because the second unanswered probe comes within that time. With three it
+// took longer, and a server that was back after 3 s got the work of a warm one.
+const freshFactor = 2
 
 // SetFresh tells whether this instance is fresh. When it no longer is, older
 // confirmations end, and every server is probed at once.
@@ -223,7 +226,7 @@
 
 // confirmation returns how long a confirmation lasts.
 func (t *Table) confirmation(r *row) time.Duration {
-	if t.Fresh {
+	if t.Fresh && r.unheard < 2 {
 		return freshFactor * r.limits.IdentityTTL
 	}
 	return r.limits.IdentityTTL
