emul/proof: run on the clock of vtime

Cause: the tests carried a queue of timed events of their own. Change: they use vtime.Clock, as the other tests of several instances. Ruled out: nothing; the order of events is the same. Conclusion: behaviour stays.

--- a/emul/proof/bench_test.go
+++ b/emul/proof/bench_test.go
@@ -42,13 +42,13 @@
 		w := warmed(b, 7)
 		w.loss, w.rate = 0, 20
 		w.addFlows(100)
-		w.run(20 * time.Second)
-		w.after(5*time.Second, func() { w.plat.markDomain("a", conf.MarkOut) })
-		w.after(20*time.Second, func() { w.domainIn("a") })
+		w.RunFor(20 * time.Second)
+		w.After(5*time.Second, func() { w.plat.markDomain("a", conf.MarkOut) })
+		w.After(20*time.Second, func() { w.domainIn("a") })
 		lowest, ended, refused := 1.0, 0, 0
 		for s := range 40 {
 			was, over := w.score, len(w.over)
-			w.run(time.Second)
+			w.RunFor(time.Second)
 			all := len(w.over) - over
 			share := float64(w.score.done-was.done) / float64(all)
 			lowest = min(lowest, share)
--- a/emul/proof/caller_test.go
+++ b/emul/proof/caller_test.go
@@ -48,7 +48,7 @@
 	id := w.rnd.Uint64()
 	*fl = flow{
 		id: id, caller: addr(7, 1+int(id%200)), service: addr(8, 1+int(id>>8)%2),
-		began: w.now, heard: w.now,
+		began: w.Now, heard: w.Now,
 	}
 }
 
@@ -68,7 +68,7 @@
 // serve the flow. Time in which none can does not count as a stall.
 func (fl *flow) servable(w *world) bool {
 	for _, in := range w.insts {
-		ok := in.up && !in.paused && in.skew == 0 && in.core.Replica.Rev() > 0 && w.now.Sub(in.began) > 5*time.Second
+		ok := in.up && !in.paused && in.skew == 0 && in.core.Replica.Rev() > 0 && w.Now.Sub(in.began) > 5*time.Second
 		if ok && in.domain == fl.host.domain {
 			return true
 		}
@@ -81,7 +81,7 @@
 	case !fl.opened:
 		w.spray(fl.packet(wire.KindOpen))
 	case fl.excused(w):
-		if w.now.Sub(fl.heard) > time.Second {
+		if w.Now.Sub(fl.heard) > time.Second {
 			w.score.given++
 			fl.renew(w)
 			return
@@ -89,9 +89,9 @@
 		w.spray(fl.packet(wire.KindData))
 	default:
 		if !fl.servable(w) {
-			fl.heard = w.now
+			fl.heard = w.Now
 		}
-		if w.now.Sub(fl.heard) > stallTime {
+		if w.Now.Sub(fl.heard) > stallTime {
 			w.fault("flow %x on server %s stalled", fl.id, fl.host.name)
 			w.score.broken++
 			fl.renew(w)
@@ -103,7 +103,7 @@
 
 func (fl *flow) receive(w *world, f *wire.Frame) {
 	if f.Kind == wire.KindOpened && !fl.opened {
-		fl.opened, fl.began, fl.heard = true, w.now, w.now
+		fl.opened, fl.began, fl.heard = true, w.Now, w.Now
 		if fl.host = w.hostOf(f); fl.host == nil {
 			w.fault("flow %x opened on unknown server %d", fl.id, f.Server)
 			fl.renew(w)
@@ -121,7 +121,7 @@
 	switch f.Kind {
 	case wire.KindData:
 		if k, seq, ok := body.ParseData(f.Body); ok && k == body.Keepalive && seq == fl.seq {
-			fl.seq, fl.heard = fl.seq+1, w.now
+			fl.seq, fl.heard = fl.seq+1, w.Now
 		}
 	case wire.KindClosed:
 		if !fl.opened {
@@ -173,7 +173,7 @@
 func (w *world) ask(once bool) {
 	r := &request{
 		once: once, caller: addr(7, 1+w.rnd.IntN(200)), service: addr(8, 1+w.rnd.IntN(2)),
-		deadline: w.now.Add(2 * time.Second), parts: map[partsOf]*caller.Assembly{},
+		deadline: w.Now.Add(2 * time.Second), parts: map[partsOf]*caller.Assembly{},
 	}
 	binary.BigEndian.PutUint64(r.id[:8], w.rnd.Uint64())
 	binary.BigEndian.PutUint64(r.id[8:], w.rnd.Uint64())
@@ -187,8 +187,8 @@
 }
 
 func (r *request) send(w *world) {
-	r.sent = w.now
-	f := wire.Frame{Kind: wire.KindRequest, ID: r.id, Token: r.ticket, Body: r.body, Timeout: uint32(max(r.deadline.Sub(w.now).Milliseconds(), 1))}
+	r.sent = w.Now
+	f := wire.Frame{Kind: wire.KindRequest, ID: r.id, Token: r.ticket, Body: r.body, Timeout: uint32(max(r.deadline.Sub(w.Now).Milliseconds(), 1))}
 	if r.once {
 		f.Flags = wire.FlagOnce
 	}
@@ -202,15 +202,15 @@
 		return
 	}
 	wait := w.between(0, w.hold)
-	r.sent, r.deadline = w.now.Add(wait), r.deadline.Add(wait)
-	w.after(wait, func() { r.send(w) })
+	r.sent, r.deadline = w.Now.Add(wait), r.deadline.Add(wait)
+	w.After(wait, func() { r.send(w) })
 }
 
 func (r *request) step(w *world) {
 	switch {
-	case w.now.After(r.deadline.Add(calls.CallerGrace)):
+	case w.Now.After(r.deadline.Add(calls.CallerGrace)):
 		r.end(w, wire.OutcomeUnknown)
-	case w.now.Before(r.deadline) && w.now.Sub(r.sent) >= 300*time.Millisecond:
+	case w.Now.Before(r.deadline) && w.Now.Sub(r.sent) >= 300*time.Millisecond:
 		r.send(w)
 	}
 }
--- a/emul/proof/fault_test.go
+++ b/emul/proof/fault_test.go
@@ -37,7 +37,7 @@
 	{"kill", func(w *world) {
 		in := w.some()
 		in.stop()
-		w.after(w.between(100*time.Millisecond, 6*time.Second), func() {
+		w.After(w.between(100*time.Millisecond, 6*time.Second), func() {
 			if !in.up {
 				in.start()
 			}
@@ -49,38 +49,38 @@
 	{"partition", func(w *world) {
 		d := domains[w.rnd.IntN(len(domains))]
 		w.cut[d] = true
-		w.after(w.between(time.Second, 10*time.Second), func() { delete(w.cut, d) })
+		w.After(w.between(time.Second, 10*time.Second), func() { delete(w.cut, d) })
 	}},
 	{"controlPartition", func(w *world) {
 		d := domains[w.rnd.IntN(len(domains))]
 		w.mute[d] = true
-		w.after(w.between(time.Second, 10*time.Second), func() { delete(w.mute, d) })
+		w.After(w.between(time.Second, 10*time.Second), func() { delete(w.mute, d) })
 	}},
 	{"platformPartition", func(w *world) {
 		d := domains[w.rnd.IntN(len(domains))]
 		w.away[d] = true
-		w.after(w.between(time.Second, 10*time.Second), func() { delete(w.away, d) })
+		w.After(w.between(time.Second, 10*time.Second), func() { delete(w.away, d) })
 	}},
 	{"outage", func(w *world) {
 		w.plat.down = true
-		w.after(w.between(4*time.Second, 15*time.Second), func() { w.plat.down = false })
+		w.After(w.between(4*time.Second, 15*time.Second), func() { w.plat.down = false })
 	}},
 	{"laggingReplica", func(w *world) {
 		w.plat.lag = 3 * time.Second
-		w.after(8*time.Second, func() { w.plat.lag = 0 })
+		w.After(8*time.Second, func() { w.plat.lag = 0 })
 	}},
 	{"lostAnswers", func(w *world) {
 		w.plat.lost = 0.5
-		w.after(8*time.Second, func() { w.plat.lost = 0 })
+		w.After(8*time.Second, func() { w.plat.lost = 0 })
 	}},
 	{"loss", func(w *world) {
 		w.loss = 0.1
-		w.after(8*time.Second, func() { w.loss = 0.01 })
+		w.After(8*time.Second, func() { w.loss = 0.01 })
 	}},
 	{"drain", func(w *world) {
 		h := w.someHost()
 		w.plat.markServer(h.name, conf.MarkLeaving)
-		w.after(w.between(time.Second, 10*time.Second), func() {
+		w.After(w.between(time.Second, 10*time.Second), func() {
 			if w.plat.last().Servers[h.name].Mark == conf.MarkLeaving {
 				w.plat.markServer(h.name, conf.MarkIn)
 			}
@@ -88,13 +88,13 @@
 	}},
 	{"serverDeath", func(w *world) {
 		h := w.someHost()
-		h.died, h.blind = w.now, false
-		h.FallOver(w.now)
+		h.died, h.blind = w.Now, false
+		h.FallOver(w.Now)
 	}},
 	{"silentCold", func(w *world) {
 		h := w.someHost()
 		h.blind = true
-		h.GoCold(w.now, h.ColdMargin)
+		h.GoCold(w.Now, h.ColdMargin)
 	}},
 	{"move", func(w *world) { w.move(w.someHost()) }},
 	{"domainOut", func(w *world) {
@@ -103,27 +103,27 @@
 			return
 		}
 		w.plat.markDomain(d, conf.MarkOut)
-		w.after(w.between(5*time.Second, 12*time.Second), func() { w.domainIn(d) })
+		w.After(w.between(5*time.Second, 12*time.Second), func() { w.domainIn(d) })
 	}},
 	{"keys", func(w *world) { w.rotate() }},
 	{"skew", func(w *world) {
 		in := w.some()
 		in.skew = time.Duration(1-2*w.rnd.IntN(2)) * w.between(250*time.Millisecond, 3*time.Second)
-		w.after(8*time.Second, func() { in.skew, in.rough = 0, w.now })
+		w.After(8*time.Second, func() { in.skew, in.rough = 0, w.Now })
 	}},
 	{"forge", func(w *world) { w.forge(200) }},
 }
 
 func (w *world) domainIn(d string) {
 	if w.plat.down {
-		w.after(time.Second, func() { w.domainIn(d) })
+		w.After(time.Second, func() { w.domainIn(d) })
 		return
 	}
 	w.plat.markDomain(d, conf.MarkIn)
 	for _, h := range w.all { // The servers of a returning domain start cold.
 		if h.domain == d && !h.gone {
-			h.died = w.now
-			h.Start(w.now)
+			h.died = w.Now
+			h.Start(w.Now)
 		}
 	}
 }
@@ -141,11 +141,11 @@
 		}
 	}
 	if in.freeze = beforeSend; beforeSend {
-		w.after(300*time.Millisecond, stop)
+		w.After(300*time.Millisecond, stop)
 	} else {
 		stop()
 	}
-	w.after(w.between(500*time.Millisecond, 15*time.Second), func() {
+	w.After(w.between(500*time.Millisecond, 15*time.Second), func() {
 		if in.process == process && in.paused {
 			in.resume()
 		}
@@ -157,21 +157,21 @@
 	if !in.up || in.leaving {
 		return
 	}
-	process, told := in.process, w.now
-	in.leaving, in.changed = true, w.now
+	process, told := in.process, w.Now
+	in.leaving, in.changed = true, w.Now
 	in.core.Leave()
 	var wait func()
 	wait = func() {
 		if in.process != process || !in.up {
 			return
 		}
-		idle := in.core.Idle(in.clock(), 2*time.Second) && w.now.Sub(told) > 2*time.Second
-		if in.paused || !idle && w.now.Sub(told) < 40*time.Second {
-			w.after(100*time.Millisecond, wait)
+		idle := in.core.Idle(in.clock(), 2*time.Second) && w.Now.Sub(told) > 2*time.Second
+		if in.paused || !idle && w.Now.Sub(told) < 40*time.Second {
+			w.After(100*time.Millisecond, wait)
 			return
 		}
 		in.stop()
-		w.after(time.Second, in.start)
+		w.After(time.Second, in.start)
 	}
 	wait()
 }
@@ -186,7 +186,7 @@
 	if w.plat.last().Servers[h.name].Mark != conf.MarkRemoved {
 		return
 	}
-	w.after(2*time.Second, func() { h.gone = true })
+	w.After(2*time.Second, func() { h.gone = true })
 	var reuse func()
 	reuse = func() {
 		service := "/h/intake"
@@ -194,10 +194,10 @@
 			service = "/h/order"
 		}
 		if !w.plat.addServer(h.domain, service, h.Addr) {
-			w.after(time.Second, reuse)
+			w.After(time.Second, reuse)
 		}
 	}
-	w.after(conf.Quarantine+time.Millisecond, reuse)
+	w.After(conf.Quarantine+time.Millisecond, reuse)
 }
 
 // rotate publishes a key and removes the older ones once flows had 10 s to
@@ -208,11 +208,11 @@
 	secret := make([]byte, 32)
 	secret[0] = id
 	if !w.plat.edit(func(s *conf.Snapshot) {
-		s.Keys[name] = conf.Key{ID: id, Secret: secret, SealFrom: w.now.Add(conf.KeyLead + time.Second)}
+		s.Keys[name] = conf.Key{ID: id, Secret: secret, SealFrom: w.Now.Add(conf.KeyLead + time.Second)}
 	}) {
 		return
 	}
-	w.after(conf.KeyLead+40*time.Second, func() {
+	w.After(conf.KeyLead+40*time.Second, func() {
 		w.plat.edit(func(s *conf.Snapshot) {
 			for n, k := range s.Keys {
 				if n != name && !k.SealFrom.After(s.Keys[name].SealFrom) {
@@ -231,7 +231,7 @@
 			return
 		}
 		f, p := w.damage(w.frames[w.rnd.IntN(len(w.frames))]), w.damage(w.peers[w.rnd.IntN(len(w.peers))])
-		w.after(w.between(0, 5*time.Second), func() {
+		w.After(w.between(0, 5*time.Second), func() {
 			in.data(fabric, f)
 			in.peer(peer.entry.Peer, p)
 		})
--- a/emul/proof/inst_test.go
+++ b/emul/proof/inst_test.go
@@ -53,15 +53,15 @@
 	in.core = &core.Core{Entry: in.entry, Half: "h", Domain: in.domain, Seed: in.seed + uint64(in.process), Nonces: rand.NewChaCha8(seed)}
 	in.core.Start(in.clock())
 	in.up, in.leaving, in.rev, in.asked = true, false, 0, time.Time{}
-	in.began, in.changed, in.rough = in.w.now, in.w.now, in.w.now
+	in.began, in.changed, in.rough = in.w.Now, in.w.Now, in.w.Now
 }
 
 func (in *inst) stop() {
-	in.up, in.changed, in.rough = false, in.w.now, in.w.now
+	in.up, in.changed, in.rough = false, in.w.Now, in.w.Now
 	in.paused, in.freeze, in.inbox = false, false, nil
 }
 
-func (in *inst) clock() time.Time { return in.w.now.Add(in.skew) }
+func (in *inst) clock() time.Time { return in.w.Now.Add(in.skew) }
 
 // do runs one entry point of the core, later if the process is paused.
 func (in *inst) do(f func(now time.Time) []wire.Send) {
@@ -90,7 +90,7 @@
 	for _, f := range inbox {
 		f()
 	}
-	in.rough = in.w.now
+	in.rough = in.w.Now
 }
 
 func (in *inst) data(from netip.AddrPort, b []byte) {
@@ -116,7 +116,7 @@
 
 func (in *inst) tick() {
 	if in.paused || in.w.cut[in.domain] || in.w.mute[in.domain] || in.skew != 0 {
-		in.rough = in.w.now
+		in.rough = in.w.Now
 	}
 	if !in.paused {
 		in.do(in.core.Tick)
@@ -196,17 +196,17 @@
 	}
 	if rev == 0 {
 		in.pull(func(*inst) bool { return true })
-		if w.now.Sub(in.began) < time.Duration(w.rnd.Int64N(int64(2*time.Second))) {
+		if w.Now.Sub(in.began) < time.Duration(w.rnd.Int64N(int64(2*time.Second))) {
 			return
 		}
-	} else if w.now.Sub(in.began) < readerAfter || !in.core.IsReader(in.w.now) {
+	} else if w.Now.Sub(in.began) < readerAfter || !in.core.IsReader(in.w.Now) {
 		return
 	}
 	if in.asked.IsZero() {
-		in.asked = w.now
+		in.asked = w.Now
 	}
 	snap, ok := w.plat.read(in.domain)
-	if ok && snap.Rev == rev && w.now.Sub(in.asked) < watchWait {
+	if ok && snap.Rev == rev && w.Now.Sub(in.asked) < watchWait {
 		return // The watch waits for a change.
 	}
 	asked := in.asked.Add(in.skew)
@@ -214,7 +214,7 @@
 	if !ok {
 		return
 	}
-	w.after(time.Duration(w.rnd.Int64N(int64(20*time.Millisecond))), func() {
+	w.After(time.Duration(w.rnd.Int64N(int64(20*time.Millisecond))), func() {
 		in.do(func(now time.Time) []wire.Send {
 			sends, _, err := in.core.OfferSettings(now, asked, snap)
 			if err != nil {
--- a/emul/proof/platform_test.go
+++ b/emul/proof/platform_test.go
@@ -76,14 +76,14 @@
 	next.Nodes, next.Domains = maps.Clone(next.Nodes), maps.Clone(next.Domains)
 	next.Servers, next.Keys = maps.Clone(next.Servers), maps.Clone(next.Keys)
 	change(&next)
-	if ps := conf.ValidateChange(p.last(), &next, w.now); len(ps) > 0 {
+	if ps := conf.ValidateChange(p.last(), &next, w.Now); len(ps) > 0 {
 		w.fault("edit refused: %v", ps)
 		return false
 	}
-	p.snaps, p.at = append(p.snaps, &next), append(p.at, w.now)
+	p.snaps, p.at = append(p.snaps, &next), append(p.at, w.Now)
 	w.score.edits++
-	accepted := w.now
-	w.after(inForce, func() {
+	accepted := w.Now
+	w.After(inForce, func() {
 		for _, in := range w.insts {
 			if in.up && in.rough.Before(accepted) && in.core.Replica.Rev() < next.Rev {
 				w.fault("settings: %s is at revision %d, %v after %d was accepted", in.entry.Name, in.core.Replica.Rev(), inForce, next.Rev)
@@ -101,7 +101,7 @@
 	}
 	i := len(p.snaps) - 1
 	if p.lag > 0 {
-		seen := p.w.now.Add(-time.Duration(p.w.rnd.Int64N(int64(p.lag))))
+		seen := p.w.Now.Add(-time.Duration(p.w.rnd.Int64N(int64(p.lag))))
 		for i > 0 && p.at[i-1].After(seen) {
 			i--
 		}
@@ -114,7 +114,7 @@
 	n := len(p.w.all)
 	s := conf.Server{
 		ID: conf.ServerID(100 + n), Name: fmt.Sprintf("%s-n%d", domain, n), Service: service, Domain: domain,
-		Addr: at, Generation: 1, Mark: conf.MarkIn, Since: p.w.now,
+		Addr: at, Generation: 1, Mark: conf.MarkIn, Since: p.w.Now,
 	}
 	if !p.edit(func(next *conf.Snapshot) { next.Servers[s.Name] = s }) {
 		return false
@@ -126,7 +126,7 @@
 func (p *platform) markDomain(name string, m conf.Mark) {
 	p.edit(func(s *conf.Snapshot) {
 		d := s.Domains[name]
-		d.Mark, d.Since = m, p.w.now
+		d.Mark, d.Since = m, p.w.Now
 		s.Domains[name] = d
 	})
 }
@@ -134,7 +134,7 @@
 func (p *platform) markServer(name string, m conf.Mark) {
 	p.edit(func(s *conf.Snapshot) {
 		v := s.Servers[name]
-		v.Mark, v.Since = m, p.w.now
+		v.Mark, v.Since = m, p.w.Now
 		s.Servers[name] = v
 	})
 }
--- a/emul/proof/proof_test.go
+++ b/emul/proof/proof_test.go
@@ -33,9 +33,9 @@
 // warmed returns a world whose servers are warm and that carries flows.
 func warmed(t testing.TB, seed uint64) *world {
 	w := newWorld(t, seed)
-	w.run(8 * time.Second)
+	w.RunFor(8 * time.Second)
 	w.addFlows(20)
-	w.run(4 * time.Second)
+	w.RunFor(4 * time.Second)
 	return w
 }
 
@@ -50,12 +50,12 @@
 				for _, seed := range seeds(1) {
 					w := warmed(t, 1000*seed+uint64(100*i+j))
 					a.start(w)
-					w.after(w.between(0, 8*time.Second), func() { b.start(w) })
-					w.run(20 * time.Second)
+					w.After(w.between(0, 8*time.Second), func() { b.start(w) })
+					w.RunFor(20 * time.Second)
 					a.start(w)
-					w.run(5 * time.Second)
+					w.RunFor(5 * time.Second)
 					b.start(w)
-					w.run(20 * time.Second)
+					w.RunFor(20 * time.Second)
 					w.verify(fmt.Sprint("seed ", seed))
 				}
 			})
@@ -114,11 +114,11 @@
 	// A planned stop of every instance in turn cuts no request and no flow.
 	{"rolling", func(w *world) {
 		w.loss, w.hold = 0, 20*time.Second
-		w.run(3 * time.Second)
+		w.RunFor(3 * time.Second)
 		before := w.score
 		for _, in := range w.insts {
 			w.replace(in)
-			w.run(45 * time.Second)
+			w.RunFor(45 * time.Second)
 			w.expect(in.process > 1 && in.up, "%s was not replaced", in.entry.Name)
 		}
 		w.expect(w.score.unknown == before.unknown, "%d requests were cut", w.score.unknown-before.unknown)
@@ -127,29 +127,29 @@
 	// An outage of an hour with a restart of every instance during it.
 	{"outageHour", func(w *world) {
 		w.plat.down, w.rate = true, 1
-		w.run(30 * time.Minute)
+		w.RunFor(30 * time.Minute)
 		for _, in := range w.insts {
 			in.stop()
-			w.run(2 * time.Second)
+			w.RunFor(2 * time.Second)
 			in.start()
-			w.run(20 * time.Second)
+			w.RunFor(20 * time.Second)
 		}
-		w.run(30 * time.Minute)
+		w.RunFor(30 * time.Minute)
 		done, all := w.score.done, len(w.over)
-		w.run(time.Minute)
+		w.RunFor(time.Minute)
 		share := float64(w.score.done-done) / float64(len(w.over)-all)
 		w.expect(share > 0.9, "only %.2f of the requests done after an hour", share)
 		w.expect(w.score.broken == 0, "%d flows broke", w.score.broken)
 		w.plat.down = false
-		w.run(5 * time.Second)
+		w.RunFor(5 * time.Second)
 		w.plat.markDomain("b", conf.MarkOut)
-		w.run(10 * time.Second)
+		w.RunFor(10 * time.Second)
 	}},
 	// Two rotations that remove the old keys break no flow.
 	{"keyRotation", func(w *world) {
 		for range 2 {
 			w.rotate()
-			w.run(80 * time.Second)
+			w.RunFor(80 * time.Second)
 		}
 		w.expect(len(w.plat.last().Keys) == 1, "%d keys are left", len(w.plat.last().Keys))
 		w.expect(w.score.broken == 0, "%d flows broke", w.score.broken)
@@ -159,58 +159,58 @@
 	{"moveWhileCut", func(w *world) {
 		h := w.all[w.rnd.IntN(3)]
 		w.addFlows(40)
-		w.run(3 * time.Second)
+		w.RunFor(3 * time.Second)
 		old := w.frameOn(h)
 		w.cut[h.domain] = true
-		w.run(time.Second)
+		w.RunFor(time.Second)
 		w.move(h)
 		w.pause(w.instsOf(h.domain, true)[0], true)
 		for range 150 { // A caller that has not heard that its flow is over.
-			w.run(100 * time.Millisecond)
+			w.RunFor(100 * time.Millisecond)
 			for _, in := range w.instsOf(h.domain, false) {
 				in.data(fabric, old)
 			}
 		}
 		delete(w.cut, h.domain)
-		w.run(15 * time.Second)
+		w.RunFor(15 * time.Second)
 	}},
 	// A failure domain goes out and comes back, while an instance of another
 	// one is cut off and one is paused.
 	{"outWhileCut", func(w *world) {
 		w.mute["c"] = true
 		w.pause(w.instsOf("b", false)[0], true)
-		w.run(time.Duration(w.rnd.Int64N(int64(3 * time.Second))))
+		w.RunFor(time.Duration(w.rnd.Int64N(int64(3 * time.Second))))
 		w.plat.markDomain("a", conf.MarkOut)
-		w.run(12 * time.Second)
+		w.RunFor(12 * time.Second)
 		delete(w.mute, "c")
-		w.run(3 * time.Second)
+		w.RunFor(3 * time.Second)
 		w.domainIn("a")
-		w.run(15 * time.Second)
+		w.RunFor(15 * time.Second)
 	}},
 	// The same while the clocks of instances are wrong.
 	{"outWithSkew", func(w *world) {
 		w.insts[2].skew, w.insts[4].skew = time.Second, -time.Second
-		w.run(2 * time.Second)
+		w.RunFor(2 * time.Second)
 		w.plat.markDomain("a", conf.MarkOut)
-		w.run(10 * time.Second)
+		w.RunFor(10 * time.Second)
 		w.domainIn("a")
-		w.run(15 * time.Second)
+		w.RunFor(15 * time.Second)
 	}},
 	// A server starts long after the instances that know it.
 	{"lateServer", func(w *world) {
 		w.rate = 20
 		h := w.all[0]
-		h.died, h.gone = w.now, true
+		h.died, h.gone = w.Now, true
 		w.longCold(h)
-		w.run(5 * time.Second)
+		w.RunFor(5 * time.Second)
 		for _, in := range w.insts {
 			in.stop()
 			in.start()
 		}
-		w.run(20 * time.Second)
-		h.gone, h.died = false, w.now
-		h.Start(w.now)
-		w.run(12 * time.Second)
+		w.RunFor(20 * time.Second)
+		h.gone, h.died = false, w.Now
+		h.Start(w.Now)
+		w.RunFor(12 * time.Second)
 	}},
 	// A server restarts cold while the clocks of two failure domains are wrong.
 	{"coldWithSkew", func(w *world) {
@@ -220,40 +220,40 @@
 			in.skew = time.Duration(1-i/2*2) * 700 * time.Millisecond
 		}
 		w.longCold(h)
-		w.run(8 * time.Second)
-		h.died = w.now
-		h.FallOver(w.now)
-		w.run(15 * time.Second)
+		w.RunFor(8 * time.Second)
+		h.died = w.Now
+		h.FallOver(w.Now)
+		w.RunFor(15 * time.Second)
 	}},
 	// Instances are paused while servers of their failure domain restart; answers
 	// of the old processes wait in their sockets.
 	{"pauseOverRestart", func(w *world) {
 		w.loss, w.rate = 0.1, 40
-		w.run(3 * time.Second)
+		w.RunFor(3 * time.Second)
 		for _, in := range w.instsOf("a", false) {
 			in.paused = true
-			w.after(5*time.Second, in.resume)
+			w.After(5*time.Second, in.resume)
 		}
-		w.run(250 * time.Millisecond)
+		w.RunFor(250 * time.Millisecond)
 		for _, h := range w.all[:3] {
-			h.died = w.now
-			h.FallOver(w.now)
+			h.died = w.Now
+			h.FallOver(w.Now)
 		}
-		w.run(10 * time.Second)
+		w.RunFor(10 * time.Second)
 	}},
 	// Servers join while one failure domain does not hear of them.
 	{"joinUneven", func(w *world) {
 		w.mute["c"] = true
-		w.run(200 * time.Millisecond)
+		w.RunFor(200 * time.Millisecond)
 		for i := range 8 {
 			w.plat.addServer(domains[i%2], "/h/order", addr(4, 90+i))
 		}
 		for range 30 {
 			w.addFlows(4)
-			w.run(100 * time.Millisecond)
+			w.RunFor(100 * time.Millisecond)
 		}
 		delete(w.mute, "c")
-		w.run(10 * time.Second)
+		w.RunFor(10 * time.Second)
 		w.expect(w.score.broken == 0, "%d flows broke", w.score.broken)
 	}},
 	// A failure domain that cannot reach the platform gets edits from peers.
@@ -261,9 +261,9 @@
 		w.away["c"] = true
 		for i := range 6 {
 			w.plat.markServer("a-s1", []conf.Mark{conf.MarkLeaving, conf.MarkIn}[i%2])
-			w.run(2 * time.Second)
+			w.RunFor(2 * time.Second)
 		}
-		w.run(inForce)
+		w.RunFor(inForce)
 	}},
 	// Every instance restarts at once.
 	{"restartAll", func(w *world) {
@@ -271,7 +271,7 @@
 			in.stop()
 			in.start()
 		}
-		w.run(20 * time.Second)
+		w.RunFor(20 * time.Second)
 	}},
 }
 
@@ -297,7 +297,7 @@
 	for i := range scores {
 		w := warmed(t, 3)
 		w.move(w.someHost())
-		w.run(20 * time.Second)
+		w.RunFor(20 * time.Second)
 		scores[i] = w.score
 	}
 	for _, s := range scores {
--- a/emul/proof/world_test.go
+++ b/emul/proof/world_test.go
@@ -3,7 +3,6 @@
 package proof_test
 
 import (
-	"container/heap"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -14,6 +13,7 @@
 
 	"ebonypaddle/emul/server"
 	"ebonypaddle/pkg/conf"
+	"ebonypaddle/pkg/vtime"
 	"ebonypaddle/pkg/wire"
 )
 
@@ -42,26 +42,6 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(n), byte(i)}), 4000)
 }
 
-type event struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	x := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return x
-}
-
 // host is a backend server with what the checks need to know of it.
 type host struct {
 	*server.Host
@@ -76,11 +56,10 @@
 // world holds the instances, servers, callers and the platform, and the queue
 // of datagrams between them.
 type world struct {
+	vtime.Clock
+
 	t     testing.TB
-	now   time.Time
 	rnd   *rand.Rand
-	queue events
-	seq   int
 	plat  platform
 	insts []*inst
 	hosts map[netip.AddrPort]*host
@@ -114,27 +93,12 @@
 
 func (w *world) fault(format string, args ...any) {
 	if len(w.bad) < 8 {
-		w.bad = append(w.bad, fmt.Sprintf("%7.3fs ", w.now.Sub(begin).Seconds())+fmt.Sprintf(format, args...))
+		w.bad = append(w.bad, fmt.Sprintf("%7.3fs ", w.Now.Sub(begin).Seconds())+fmt.Sprintf(format, args...))
 	}
 }
 
-func (w *world) after(d time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.queue, event{w.now.Add(d), w.seq, do})
-}
-
 func (w *world) every(d time.Duration, do func()) {
-	w.after(d, func() { do(); w.every(d, do) })
-}
-
-func (w *world) run(d time.Duration) {
-	end := w.now.Add(d)
-	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
-		e := heap.Pop(&w.queue).(event)
-		w.now = e.at
-		e.do()
-	}
-	w.now = end
+	w.After(d, func() { do(); w.every(d, do) })
 }
 
 // linked reports whether datagrams pass between two failure domains. Callers
@@ -156,7 +120,7 @@
 	if w.rnd.Float64() < 2*w.loss {
 		d += time.Duration(w.rnd.Int64N(int64(200 * time.Millisecond)))
 	}
-	w.after(d, do)
+	w.After(d, do)
 	if twice && w.rnd.Float64() < w.loss {
 		w.transmit(from, to, false, do)
 	}
@@ -170,9 +134,9 @@
 	if h == nil || h.gone || wire.Decode(b, &p) != nil {
 		return
 	}
-	w.sendOuts(h, h.Tick(w.now))
+	w.sendOuts(h, h.Tick(w.Now))
 	w.check(from, h, &p.Frame)
-	w.sendOuts(h, h.Handle(w.now, from.entry.Data, &p))
+	w.sendOuts(h, h.Handle(w.Now, from.entry.Data, &p))
 }
 
 // check applies the requirements on frames that reach a server. A frame whose
@@ -180,7 +144,7 @@
 // that is stopped between decision and send cannot recall it.
 func (w *world) check(from *inst, h *host, f *wire.Frame) {
 	w.score.reached++
-	if f.Deadline != 0 && w.now.After(f.DeadlineTime()) {
+	if f.Deadline != 0 && w.Now.After(f.DeadlineTime()) {
 		return
 	}
 	what := fmt.Sprintf("frame kind %d from %s to server %s", f.Kind, from.entry.Name, h.name)
@@ -195,30 +159,30 @@
 // checkMarks applies what operators said of the server and its failure domain.
 // An instance inside the domain that was cut off or paused of late is excused.
 func (w *world) checkMarks(from *inst, h *host, what string, work bool) {
-	if from.domain == h.domain && w.now.Sub(from.rough) < inForce {
+	if from.domain == h.domain && w.Now.Sub(from.rough) < inForce {
 		return
 	}
 	dom := w.plat.last().Domains[h.domain]
-	if dom.Mark == conf.MarkOut && w.now.Sub(dom.Since) > inForce {
-		w.fault("domain out: %s after %v", what, w.now.Sub(dom.Since))
+	if dom.Mark == conf.MarkOut && w.Now.Sub(dom.Since) > inForce {
+		w.fault("domain out: %s after %v", what, w.Now.Sub(dom.Since))
 	}
 	rec := w.plat.last().Servers[h.name]
-	if work && rec.Mark != conf.MarkIn && w.now.Sub(rec.Since) > inForce {
-		w.fault("leaving server: %s after %v", what, w.now.Sub(rec.Since))
+	if work && rec.Mark != conf.MarkIn && w.Now.Sub(rec.Since) > inForce {
+		w.fault("leaving server: %s after %v", what, w.Now.Sub(rec.Since))
 	}
 }
 
 // checkCold applies the limit of a server in cold start.
 func (w *world) checkCold(h *host, what string, request bool) {
-	if h.Health(w.now) != "cold" {
+	if h.Health(w.Now) != "cold" {
 		h.blind = false
 		return
 	}
-	n := int(h.Load(w.now).InFlight)
+	n := int(h.Load(w.Now).InFlight)
 	if !request || n < h.ColdSlots {
 		return
 	}
-	if !h.blind && w.now.Sub(h.shown) > detectCold {
+	if !h.blind && w.Now.Sub(h.shown) > detectCold {
 		w.fault("cold start: %s with %d in progress of %d", what, n, h.ColdSlots)
 	}
 }
@@ -237,7 +201,7 @@
 					// Nobody can know of a silent fall before a refusal that
 					// shows it has arrived; the network may lose the first.
 					if shows && h.blind {
-						h.blind, h.shown = false, w.now
+						h.blind, h.shown = false, w.Now
 					}
 					in.data(h.Addr, b)
 				})
@@ -255,7 +219,7 @@
 	}
 	var known []*inst
 	for _, in := range w.insts {
-		stale := w.now.Sub(in.changed) < fabricLag
+		stale := w.Now.Sub(in.changed) < fabricLag
 		if in.up && !in.leaving || stale && in.up == in.leaving {
 			known = append(known, in)
 		}
@@ -273,7 +237,7 @@
 // newWorld starts six instances, seven servers and the callers.
 func newWorld(t testing.TB, seed uint64) *world {
 	w := &world{
-		t: t, now: begin, rnd: rand.New(rand.NewPCG(seed, 77)), hosts: map[netip.AddrPort]*host{},
+		Clock: vtime.Clock{Now: begin}, t: t, rnd: rand.New(rand.NewPCG(seed, 77)), hosts: map[netip.AddrPort]*host{},
 		reqs: map[wire.RequestID]*request{}, cut: map[string]bool{}, mute: map[string]bool{}, away: map[string]bool{}, loss: 0.01, rate: 4,
 	}
 	w.plat.w = w
@@ -293,7 +257,7 @@
 	w.every(hostTick, func() {
 		for _, h := range w.all {
 			if !h.gone {
-				w.sendOuts(h, h.Tick(w.now))
+				w.sendOuts(h, h.Tick(w.Now))
 			}
 		}
 	})
@@ -311,7 +275,7 @@
 			DownTime: conf.Duration(3 * time.Second),
 		},
 	}}
-	h.Start(w.now)
+	h.Start(w.Now)
 	w.hosts[s.Addr] = h
 	w.all = append(w.all, h)
 }
