flow, pick: test the delay of new servers where it is applied

Cause: Router.Placeable had no caller outside tests; the picker applies the delay, without a test of its own. Change: Placeable is gone. The picker's rule has a test for servers and for failure domains that return; the schedules of flow read the rule from conf. Ruled out: calling the router from the picker, which would tie the packages. Conclusion: behaviour stays; the rule that runs is the one that is tested.

--- a/pkg/flow/compare_test.go
+++ b/pkg/flow/compare_test.go
@@ -40,6 +40,8 @@
 	control int
 	// rev is the settings revision of each instance; it never falls.
 	rev []uint64
+	// applied holds the settings of each instance.
+	applied map[*flow.Router]*conf.Snapshot
 }
 
 type mode int
@@ -63,7 +65,7 @@
 
 func newSchedule(t testing.TB, m mode, seed uint64, instances, servers int) *schedule {
 	t.Helper()
-	s := &schedule{Clock: vtime.Clock{Now: start}, mode: m, rnd: rand.New(rand.NewPCG(seed, 1)), flows: map[uint64]*openFlow{}}
+	s := &schedule{Clock: vtime.Clock{Now: start}, mode: m, rnd: rand.New(rand.NewPCG(seed, 1)), flows: map[uint64]*openFlow{}, applied: map[*flow.Router]*conf.Snapshot{}}
 	id := conf.ServiceID(1)
 	s.snap = conf.Snapshot{
 		Rev:     1,
@@ -100,6 +102,7 @@
 		s.After(time.Duration(s.rnd.IntN(3000))*time.Millisecond, func() {
 			if s.alive[i] && snap.Rev > s.rev[i] {
 				s.rev[i] = snap.Rev
+				s.applied[r] = &snap
 				r.Apply(s.Now, &snap)
 			}
 		})
@@ -114,6 +117,7 @@
 	r := &flow.Router{Self: fmt.Sprint(i), Box: box, Rand: s.rnd}
 	snap := s.snap
 	r.Apply(s.Now, &snap)
+	s.applied[r] = &snap
 	s.routers = append(s.routers, r)
 	s.alive = append(s.alive, true)
 	s.rev = append(s.rev, snap.Rev)
@@ -247,7 +251,8 @@
 func (s *schedule) place(r *flow.Router) conf.ServerID {
 	for {
 		id := conf.ServerID(s.rnd.IntN(len(s.snap.Servers)) + 1)
-		if r.Placeable(s.Now, id) {
+		rec, ok := s.applied[r].Servers[fmt.Sprint(id)]
+		if ok && rec.Mark == conf.MarkIn && !s.Now.Before(s.applied[r].MarkedSince(&rec).Add(conf.EffectAfter)) {
 			return id
 		}
 	}
--- a/pkg/flow/router.go
+++ b/pkg/flow/router.go
@@ -242,15 +242,6 @@
 	return Route{Verdict: Forward, Server: id, Generation: generation}
 }
 
-// Placeable reports whether a server may get new flows and requests: it is
-// marked in, its failure domain is in, and both have been so long enough that
-// every instance knows the server. Without that delay, an instance that heard
-// late refused the tokens of flows that others had opened on the new server.
-func (r *Router) Placeable(now time.Time, id conf.ServerID) bool {
-	b := r.servers[id]
-	return b.mark == conf.MarkIn && b.runs() && !now.Before(b.since.Add(conf.EffectAfter))
-}
-
 // Opened returns the token of a new flow that was placed on a server.
 func (r *Router) Opened(now time.Time, dst []byte, svc conf.ServiceID, id conf.ServerID, generation uint32, flow uint64) ([]byte, error) {
 	return r.Box.SealFlow(now, dst, &token.Flow{
--- a/pkg/flow/router_test.go
+++ b/pkg/flow/router_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -46,17 +45,6 @@
 	}
 }
 
-// Guards against new flows on a server that some instances have not heard of.
-func TestNewServerWaitsForAllInstances(t *testing.T) {
-	s := newSchedule(t, withToken, 1, 1, 2)
-	s.RunFor(time.Minute)
-	s.setServer(3, conf.MarkIn)
-	joined := s.Now
-	s.RunFor(3 * time.Second)
-	assert.Assert(t, !s.routers[0].Placeable(joined.Add(3999*time.Millisecond), 3))
-	assert.Assert(t, s.routers[0].Placeable(joined.Add(4*time.Second), 3))
-}
-
 func benchPacket(b testing.TB, m mode) (*flow.Router, *wire.Packet) {
 	s := newSchedule(b, m, 1, 1, 14)
 	p := &wire.Packet{Service: service}
--- a/pkg/pick/cold_test.go
+++ b/pkg/pick/cold_test.go
@@ -334,3 +334,25 @@
 		})
 	}
 }
+
+// Guards against new flows on a server that some instances have not heard of:
+// they would refuse the tokens of its flows. A failure domain that returns
+// counts like its servers.
+func TestNewServerWaitsForAllInstances(t *testing.T) {
+	for name, mark := range map[string]func(s *conf.Snapshot){
+		"server": func(s *conf.Snapshot) { v := s.Servers["0"]; v.Since = begin; s.Servers["0"] = v },
+		"domain": func(s *conf.Snapshot) { d := s.Domains["a"]; d.Since = begin; s.Domains["a"] = d },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := settings(1)
+			mark(s)
+			p := &Picker{Entry: "b0", Domain: "b", Servers: &fixed{total: 6, warm: true}, Rand: rand.New(rand.NewPCG(1, 1))}
+			p.Apply(begin, s)
+			for at, want := range map[time.Duration]wire.Reason{3999 * time.Millisecond: wire.ReasonNoServer, 4 * time.Second: wire.ReasonNone} {
+				now := begin.Add(at)
+				_, reason := p.Place(now, &Ask{Service: 7, Deadline: now.Add(time.Second), CrossUntil: now.Add(time.Second)})
+				assert.Equal(t, reason, want)
+			}
+		})
+	}
+}
