steer, relay, platform: carry opaque flows on the users' platform

Cause: the product had no path for flows whose packets it cannot read, and no adapter for the platform's store, packets and settings file. Change: pkg/steer decides by a table of servers, routes and tokens of 32 bits; pkg/relay is its shell; platform/ translates. pkg/store exports Read.

--- /dev/null
+++ b/pkg/relay/relay.go
@@ -0,0 +1,228 @@
+// Package relay is the shell around steer: the socket of callers' packets, the
+// answer whether the instance serves, and the readers of the store. It takes no
+// decisions about packets.
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ebonypaddle/pkg/steer"
+	"ebonypaddle/pkg/wire"
+)
+
+const (
+	// tickEvery is the interval of the systems of steer.
+	tickEvery = 100 * time.Millisecond
+	// socketBuffer in bytes holds about 2,000 large packets while the process
+	// does not run.
+	socketBuffer = 4 << 20
+)
+
+// Codec reads and writes packets.
+type Codec interface {
+	// Decode reads a caller's packet.
+	Decode(b []byte, p *steer.Packet) error
+	// Forward appends the packet raw for a server to dst.
+	Forward(dst, raw []byte, to steer.Target) []byte
+	// Refuse appends the answer that ends the flow of p to dst, and returns
+	// the address it goes to.
+	Refuse(dst []byte, p *steer.Packet) ([]byte, netip.AddrPort)
+}
+
+// Times are the waits of the shell.
+type Times struct {
+	// Leave is how long a stopping instance forwards after it reports that it
+	// does not serve, and Quiet the time without packets after which it ends
+	// earlier. LeaveAtLeast is the time that routers need to notice.
+	Leave, LeaveAtLeast, Quiet time.Duration
+}
+
+// Relay runs one instance. The exported fields are set before Run.
+type Relay struct {
+	Data, Ready netip.AddrPort
+	Codec       Codec
+	Servers     Source[steer.Server]
+	Settings    Source[steer.Settings]
+	Domains     Source[steer.Out]
+	// MaxPacket is the largest packet in bytes.
+	MaxPacket int
+	// Clock is the steady clock.
+	Clock func() time.Time
+	Times Times
+	Steer *steer.Steer
+	Log   *slog.Logger
+	// Counts are the counters of the shell.
+	Counts Counts
+	// Routes are further handlers on the Ready address, by pattern.
+	Routes map[string]http.Handler
+
+	mu      sync.Mutex
+	conn    *net.UDPConn
+	leaving atomic.Bool
+	lastAt  atomic.Int64 // time of the latest packet in nanoseconds
+}
+
+// Counts count what the shell does.
+type Counts struct {
+	// In and Out are packets received and sent, SendErrors those that the
+	// system did not take, Malformed those that do not decode.
+	In, Out, SendErrors, Malformed atomic.Uint64
+}
+
+// Run serves until ctx ends and then forwards until the routers have moved the
+// flows away.
+func (r *Relay) Run(ctx context.Context) error {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(r.Data))
+	if err != nil {
+		return fmt.Errorf("packets of callers: %w", err)
+	}
+	r.conn = conn
+	if err := conn.SetReadBuffer(socketBuffer); err != nil {
+		r.Log.Warn("read buffer not set", "bytes", socketBuffer, "err", err)
+	}
+	ready, err := r.serveReady()
+	if err != nil {
+		_ = conn.Close()
+		return err
+	}
+	r.Log.Info("started", "data", r.Data, "ready", r.Ready)
+	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	var wg sync.WaitGroup
+	wg.Go(r.forward)
+	wg.Go(func() { r.tick(run) })
+	wg.Go(func() { follow(run, r, r.Servers, r.applyServers) })
+	wg.Go(func() { follow(run, r, r.Settings, r.applySettings) })
+	wg.Go(func() { follow(run, r, r.Domains, r.applyDomains) })
+	<-ctx.Done()
+	r.leave()
+	cancel()
+	_ = conn.Close()
+	err = ready.Close()
+	wg.Wait()
+	r.Log.Info("stopped", "in", r.Counts.In.Load(), "out", r.Counts.Out.Load())
+	return err
+}
+
+// leave forwards packets until no more come.
+func (r *Relay) leave() {
+	r.leaving.Store(true)
+	began := r.Clock()
+	r.Log.Info("stopping", "within", r.Times.Leave)
+	for {
+		time.Sleep(tickEvery)
+		now := r.Clock()
+		idle := now.UnixNano() - r.lastAt.Load()
+		if now.Sub(began) >= r.Times.Leave || now.Sub(began) >= r.Times.LeaveAtLeast && idle >= int64(r.Times.Quiet) {
+			return
+		}
+	}
+}
+
+// forward handles callers' packets until the socket is closed.
+func (r *Relay) forward() {
+	in, out := make([]byte, r.MaxPacket+1), make([]byte, 0, r.MaxPacket+1)
+	for {
+		n, _, err := r.conn.ReadFromUDPAddrPort(in)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // an ICMP error of an earlier send
+		}
+		r.Counts.In.Add(1)
+		out = r.handle(in[:n], out[:0])
+	}
+}
+
+func (r *Relay) handle(raw, out []byte) []byte {
+	var p steer.Packet
+	if err := r.Codec.Decode(raw, &p); err != nil {
+		r.Counts.Malformed.Add(1)
+		r.Steer.Stats.Dropped.Add(wire.ReasonMalformed)
+		return out
+	}
+	now := r.Clock()
+	r.lastAt.Store(now.UnixNano())
+	r.mu.Lock()
+	v := r.Steer.Handle(now, &p)
+	r.mu.Unlock()
+	var to netip.AddrPort
+	switch v.Action {
+	case steer.Forward:
+		out, to = r.Codec.Forward(out, raw, v.To), v.To.Addr
+	case steer.Refuse:
+		out, to = r.Codec.Refuse(out, &p)
+	default:
+		return out
+	}
+	if _, err := r.conn.WriteToUDPAddrPort(out, to); err != nil {
+		r.Counts.SendErrors.Add(1)
+		r.Steer.Stats.Dropped.Add(wire.ReasonSendFailed)
+		return out
+	}
+	r.Counts.Out.Add(1)
+	return out
+}
+
+func (r *Relay) tick(ctx context.Context) {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		r.mu.Lock()
+		r.Steer.Tick(r.Clock())
+		r.mu.Unlock()
+	}
+}
+
+// readyPath answers 200 while the instance serves.
+const readyPath = "/v1/ready"
+
+func (r *Relay) serveReady() (*http.Server, error) {
+	l, err := net.Listen("tcp4", r.Ready.String())
+	if err != nil {
+		return nil, fmt.Errorf("ready address: %w", err)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+readyPath, r.ready)
+	for pattern, h := range r.Routes {
+		mux.Handle(pattern, h)
+	}
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: readyTimeout, IdleTimeout: readyIdle}
+	go func() {
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			r.Log.Error("ready address failed", "err", err)
+		}
+	}()
+	return srv, nil
+}
+
+// Routers ask twice a second; a connection that is silent for longer is dead.
+const (
+	readyTimeout = 2 * time.Second
+	readyIdle    = 10 * time.Second
+)
+
+func (r *Relay) ready(w http.ResponseWriter, _ *http.Request) {
+	r.mu.Lock()
+	ok := r.Steer.Ready()
+	r.mu.Unlock()
+	if !ok || r.leaving.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/pkg/steer/flow.go
@@ -0,0 +1,158 @@
+package steer
+
+import (
+	"encoding/binary"
+	"log/slog"
+	"time"
+)
+
+// flowKey is the address and port of both ends.
+type flowKey [12]byte
+
+func keyOf(p *Packet) flowKey {
+	var k flowKey
+	c, v := p.Caller.Addr().As4(), p.Service.Addr().As4()
+	copy(k[0:], c[:])
+	binary.BigEndian.PutUint16(k[4:], p.Caller.Port())
+	copy(k[6:], v[:])
+	binary.BigEndian.PutUint16(k[10:], p.Service.Port())
+	return k
+}
+
+// LogValue identifies the flow of a packet in log lines.
+func (p *Packet) LogValue() slog.Value {
+	return slog.StringValue(p.Caller.String() + ">" + p.Service.String())
+}
+
+// flow holds notes on one flow. Forwarding does not need them.
+type flow struct {
+	server *server
+	open   bool
+	seenAt time.Time
+	// openedAt is when its opening was last forwarded.
+	openedAt time.Time
+	// seq and acked are the highest values that the caller sent.
+	seq, acked uint32
+	// askedAt is when the request in progress began; zero between requests.
+	askedAt time.Time
+	// repeats counts data that the caller sent again without progress.
+	repeats int
+}
+
+// flowIdle is the time without packets after which notes on a flow are
+// discarded. Most flows carry one request; for others only the load estimate
+// loses by it.
+const flowIdle = 15 * time.Second
+
+// flows is a bounded table of notes on flows.
+type flows struct {
+	max  int
+	rows map[flowKey]*flow
+}
+
+func (t *flows) start(n int) {
+	t.max = n
+	t.rows = map[flowKey]*flow{}
+}
+
+func (t *flows) get(p *Packet) *flow { return t.rows[keyOf(p)] }
+
+// put notes that an opening went to a server. A full table forgets some flow.
+func (t *flows) put(now time.Time, p *Packet, r *server, _ *Route) {
+	k := keyOf(p)
+	f := t.rows[k]
+	if f == nil {
+		if len(t.rows) >= t.max {
+			for old, g := range t.rows {
+				g.end(now)
+				delete(t.rows, old)
+				break
+			}
+		}
+		f = &flow{}
+		t.rows[k] = f
+	}
+	*f = flow{server: r, seenAt: now, openedAt: now, seq: p.Seq}
+	r.load.opening(now)
+}
+
+func (t *flows) forget(p *Packet) {
+	k := keyOf(p)
+	if f := t.rows[k]; f != nil {
+		f.server.load.finished(f)
+		delete(t.rows, k)
+	}
+}
+
+func (t *flows) expire(now time.Time) {
+	for k, f := range t.rows {
+		if now.Sub(f.seenAt) > flowIdle {
+			f.end(now)
+			delete(t.rows, k)
+		}
+	}
+}
+
+func (f *flow) end(time.Time) { f.server.load.finished(f) }
+
+// after reports whether sequence number a comes after b.
+func after(a, b uint32) bool { return int32(a-b) > 0 }
+
+// observe takes from a packet of a flow what it tells of the server.
+func (s *Steer) observe(now time.Time, p *Packet, r *server, _ *Route) {
+	f := s.flows.get(p)
+	if f == nil || f.server != r {
+		// The flow was opened by another instance or at the other server of
+		// two that got its opening.
+		f = s.flows.adopt(now, p, r)
+	}
+	f.seenAt = now
+	if !f.open {
+		f.open = true
+		f.acked = p.Acked
+		r.evidence.answered(now)
+		r.load.opened(now, f)
+	}
+	if after(p.Acked, f.acked) {
+		f.acked = p.Acked
+		f.repeats = 0
+		r.evidence.answered(now)
+		r.load.answered(now, f, p)
+	}
+	switch {
+	case p.Size > 0 && after(p.Seq+uint32(p.Size), f.seq):
+		f.seq = p.Seq + uint32(p.Size)
+		if f.askedAt.IsZero() {
+			f.askedAt = now
+			r.load.asked(now)
+		}
+	case p.Size > 0:
+		f.repeats++
+		r.evidence.missed(now)
+	}
+	if p.End || p.Reset {
+		s.flows.forget(p)
+	}
+}
+
+// adopt notes an open flow that this instance did not open.
+func (t *flows) adopt(now time.Time, p *Packet, r *server) *flow {
+	t.forget(p)
+	t.put(now, p, r, nil)
+	f := t.get(p)
+	r.load.opened(now, f)
+	f.open, f.acked = true, p.Acked
+	return f
+}
+
+// unanswered takes a copy of an opening as a sign that the server to which the
+// earlier one went did not answer it.
+func (s *Steer) unanswered(now time.Time, f *flow, p *Packet) {
+	if p.Copy == 0 {
+		return
+	}
+	s.Copied++
+	f.server.load.unopened(now)
+	f.server.evidence.missed(now)
+	s.Log.Info("opening not answered", "flow", p, "server", f.server.name, "copy", p.Copy, "after", now.Sub(f.openedAt), "misses", f.server.evidence.misses)
+}
--- /dev/null
+++ b/pkg/steer/server.go
@@ -0,0 +1,161 @@
+package steer
+
+import (
+	"time"
+)
+
+// server is the row of one backend server.
+type server struct {
+	Server
+	token uint32
+	name  string
+	// seenAt is when this instance first saw the record.
+	seenAt time.Time
+	// coldUntil is when the slow time after its start ends.
+	coldUntil time.Time
+	// lapsedAt is when the record was removed although the server still
+	// answered callers; zero for a server with a record.
+	lapsedAt time.Time
+	evidence evidence
+	load     load
+}
+
+func (r *server) target() Target { return Target{r.ID, r.Addr, r.token} }
+
+// tokenTries is the number of tokens that an identity may use. With one token
+// each, 140,000 servers would have two collisions on average.
+const tokenTries = 4
+
+// tokens returns the tokens of a server in the order of preference. Identities
+// that fit in 32 bits never collide with their first token.
+func tokens(id ServerID) [tokenTries]uint32 {
+	var out [tokenTries]uint32
+	h := uint64(id)
+	for i := range out {
+		out[i] = max(uint32(h)^uint32(h>>32), 1)
+		h = (h + 1) * 0x9E3779B97F4A7C15 // Fibonacci hashing, 2^64 divided by the golden ratio
+	}
+	return out
+}
+
+// claimToken gives a server the first of its tokens that no other one has.
+// Without a free one the server gets no flows.
+func (s *Steer) claimToken(r *server) {
+	for _, t := range tokens(r.ID) {
+		if _, taken := s.byToken[t]; !taken {
+			r.token = t
+			s.byToken[t] = r
+			return
+		}
+	}
+	s.Log.Warn("server has no free token and gets no flows", "server", r.name, "rev", r.Rev)
+}
+
+// ApplyServers takes changed records of servers. With full, the changes are all
+// records that exist, and others are removed. A record with a lower revision
+// than the known one is old and changes nothing.
+func (s *Steer) ApplyServers(now time.Time, changes []Change[Server], full bool) {
+	seen := map[string]bool{}
+	for _, c := range changes {
+		seen[c.Name] = true
+		switch r := s.byName[c.Name]; {
+		case r != nil && c.Rev < r.Rev:
+		case c.Deleted:
+			s.removeServer(now, r)
+		default:
+			s.putServer(now, c)
+		}
+	}
+	if full {
+		for name, r := range s.byName {
+			if !seen[name] {
+				s.removeServer(now, r)
+			}
+		}
+	}
+	s.index()
+}
+
+func (s *Steer) putServer(now time.Time, c Change[Server]) {
+	r := s.byName[c.Name]
+	if r != nil && (r.ID != c.Value.ID || !r.Born.Equal(c.Value.Born) || r.Addr != c.Value.Addr || r.Service != c.Value.Service) {
+		// It started again: nothing that was known of it holds.
+		s.dropServer(r)
+		r = nil
+	}
+	if r == nil {
+		r = &server{name: c.Name, seenAt: now}
+		if !s.listed {
+			r.seenAt = time.Time{}
+		}
+		r.Server = c.Value
+		s.byName[c.Name] = r
+		s.claimToken(r)
+		s.Log.Info("server known", "server", c.Name, "service", r.Service, "domain", r.Domain, "addr", r.Addr, "leaving", r.Leaving, "coldFor", r.ColdFor, "rev", c.Rev)
+	} else if r.Leaving != c.Value.Leaving {
+		s.Log.Info("server changed", "server", c.Name, "leaving", c.Value.Leaving, "rev", c.Rev)
+	}
+	if !r.lapsedAt.IsZero() {
+		s.Log.Info("server is back in the store", "server", c.Name, "after", now.Sub(r.lapsedAt), "rev", c.Rev)
+		r.lapsedAt = time.Time{}
+	}
+	r.Server = c.Value
+	r.Rev = c.Rev
+	r.coldUntil = now.Add(c.Value.ColdFor)
+}
+
+// removeServer takes the removal of a record. A record can lapse although its
+// server lives, when the store was away; a server that answers callers is kept
+// for LapseFor, in which it can renew its record.
+func (s *Steer) removeServer(now time.Time, r *server) {
+	if r == nil || !r.lapsedAt.IsZero() {
+		return
+	}
+	alive := !r.Leaving && r.evidence.alive(now)
+	s.Log.Info("server removed from the store", "server", r.name, "service", r.Service, "leaving", r.Leaving, "answering", alive, "rev", r.Rev)
+	if alive {
+		r.lapsedAt = now
+		return
+	}
+	s.dropServer(r)
+}
+
+// dropServer ends all use of a server. Packets of its flows are refused.
+func (s *Steer) dropServer(r *server) {
+	delete(s.byName, r.name)
+	if s.byToken[r.token] == r {
+		delete(s.byToken, r.token)
+		s.gone.add(r.token)
+	}
+}
+
+// expireLapsed drops servers whose record did not come back in time.
+func (s *Steer) expireLapsed(now time.Time) {
+	dropped := false
+	for _, r := range s.byName {
+		if !r.lapsedAt.IsZero() && now.Sub(r.lapsedAt) >= s.Limits.LapseFor {
+			s.Log.Info("server did not renew its record", "server", r.name, "after", now.Sub(r.lapsedAt))
+			s.dropServer(r)
+			dropped = true
+		}
+	}
+	if dropped {
+		s.index()
+	}
+}
+
+// index groups the servers by service.
+func (s *Steer) index() {
+	clear(s.pools)
+	for _, r := range s.byName {
+		p := s.pools[r.Service]
+		if p == nil {
+			p = &pool{}
+			s.pools[r.Service] = p
+		}
+		p.add(r, r.Domain == s.Domain)
+	}
+	for _, p := range s.pools {
+		p.sort()
+	}
+}
--- /dev/null
+++ b/pkg/steer/steer.go
@@ -0,0 +1,194 @@
+package steer
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"ebonypaddle/pkg/stats"
+	"ebonypaddle/pkg/wire"
+)
+
+// Limits bound times and memory.
+type Limits struct {
+	// Flows is the number of flows of which an instance keeps notes. A flow
+	// without notes is forwarded by its token alone.
+	Flows int
+	// LapseFor is how long a server that answers callers is used after its
+	// record was removed. Servers renew lapsed records within about 2 s of
+	// the store's return.
+	LapseFor time.Duration
+	// SettleFor is how long a new server gets no flows, until the other
+	// instances know it too and can continue its flows.
+	SettleFor time.Duration
+	// UnknownFor is how long packets with an unknown token are dropped before
+	// they are refused: another instance may know a new server earlier.
+	UnknownFor time.Duration
+}
+
+// DefaultLimits hold for an instance with a few megabytes for flows.
+var DefaultLimits = Limits{
+	Flows:      1 << 15,
+	LapseFor:   2200 * time.Millisecond,
+	SettleFor:  time.Second,
+	UnknownFor: 3 * time.Second,
+}
+
+// Steer is the table of servers, routes and flows of one instance. Set the
+// exported fields, then call Start. It is not safe for concurrent use.
+type Steer struct {
+	// Domain is the failure domain of this instance.
+	Domain string
+	// Seed makes every random choice repeatable.
+	Seed   uint64
+	Limits Limits
+	Log    *slog.Logger
+	Stats  *stats.Counters
+
+	// Opened counts openings that were placed, Copied those of them that were
+	// placed again, Crossed those placed in another failure domain.
+	Opened, Copied, Crossed uint64
+
+	rnd      *rand.Rand
+	settings *Settings
+	routes   map[netip.AddrPort]*Route
+	services map[string]Service
+	out      map[string]time.Time // domains taken out, and since when
+	byName   map[string]*server
+	byToken  map[uint32]*server
+	pools    map[string]*pool
+	flows    flows
+	gone     tokenSet // tokens of servers that were dropped
+	unknown  map[uint32]time.Time
+	listed   bool
+	tickedAt time.Time
+}
+
+// Start prepares the tables.
+func (s *Steer) Start(now time.Time) {
+	s.rnd = rand.New(rand.NewPCG(s.Seed, uint64(now.UnixNano())))
+	if s.Log == nil {
+		s.Log = slog.New(slog.DiscardHandler)
+	}
+	if s.Stats == nil {
+		s.Stats = &stats.Counters{}
+	}
+	if s.Limits == (Limits{}) {
+		s.Limits = DefaultLimits
+	}
+	s.out = map[string]time.Time{}
+	s.byName = map[string]*server{}
+	s.byToken = map[uint32]*server{}
+	s.pools = map[string]*pool{}
+	s.unknown = map[uint32]time.Time{}
+	s.flows.start(s.Limits.Flows)
+	s.gone.start()
+}
+
+// Listed tells that all records of servers that exist were applied.
+func (s *Steer) Listed() { s.listed = true }
+
+// Ready reports whether the instance knows enough to place flows.
+func (s *Steer) Ready() bool { return s.listed && s.settings != nil }
+
+// Handle decides what happens to a caller's packet.
+func (s *Steer) Handle(now time.Time, p *Packet) Verdict {
+	var v Verdict
+	if p.Open {
+		v = s.open(now, p)
+	} else {
+		v = s.follow(now, p)
+	}
+	switch v.Action {
+	case Drop:
+		s.Stats.Dropped.Add(v.Reason)
+	case Refuse:
+		s.Stats.Refused.Add(v.Reason)
+	case Forward:
+	}
+	return v
+}
+
+// open places a new flow, or a further copy of its opening.
+func (s *Steer) open(now time.Time, p *Packet) Verdict {
+	if !s.Ready() {
+		return drop(wire.ReasonNoSettings)
+	}
+	rt := s.routes[p.Service]
+	if rt == nil {
+		return refuse(wire.ReasonUnknownService)
+	}
+	f := s.flows.get(p)
+	if f != nil && f.open {
+		// A late copy of an opening that was answered.
+		return drop(wire.ReasonUnknownFlow)
+	}
+	var tried *server
+	if f != nil {
+		tried = f.server
+		s.unanswered(now, f, p)
+	}
+	r, why := s.place(now, s.choose(rt), tried)
+	if r == nil {
+		s.Log.Info("opening refused", "flow", p, "reason", why, "version", s.settings.Version)
+		return refuse(why)
+	}
+	s.Opened++
+	if r.Domain != s.Domain {
+		s.Crossed++
+	}
+	s.flows.put(now, p, r, rt)
+	return forward(r)
+}
+
+// follow forwards a packet of a flow to the server of its token.
+func (s *Steer) follow(now time.Time, p *Packet) Verdict {
+	r := s.byToken[p.Token]
+	if r == nil {
+		return s.lost(now, p)
+	}
+	rt := s.routes[p.Service]
+	if s.Ready() && rt == nil {
+		s.flows.forget(p)
+		return refuse(wire.ReasonUnknownService)
+	}
+	s.observe(now, p, r, rt)
+	return forward(r)
+}
+
+// lost handles a packet whose token names no server.
+func (s *Steer) lost(now time.Time, p *Packet) Verdict {
+	if p.Reset {
+		return drop(wire.ReasonUnknownFlow)
+	}
+	if s.gone.has(p.Token) {
+		s.Log.Info("flow closed", "flow", p, "reason", wire.ReasonServerGone, "token", p.Token)
+		s.flows.forget(p)
+		return refuse(wire.ReasonServerGone)
+	}
+	since, ok := s.unknown[p.Token]
+	if !ok && len(s.unknown) < maxUnknown {
+		s.unknown[p.Token] = now
+	}
+	if !s.Ready() || !ok || now.Sub(since) < s.Limits.UnknownFor {
+		return drop(wire.ReasonUnknownFlow)
+	}
+	s.Log.Info("flow closed", "flow", p, "reason", wire.ReasonUnknownFlow, "token", p.Token, "unknownFor", now.Sub(since))
+	return refuse(wire.ReasonUnknownFlow)
+}
+
+// Tick expires what is due. Call it several times a second.
+func (s *Steer) Tick(now time.Time) {
+	s.expireLapsed(now)
+	if now.Sub(s.tickedAt) < time.Second {
+		return
+	}
+	s.tickedAt = now
+	s.flows.expire(now)
+	for t, since := range s.unknown {
+		if _, known := s.byToken[t]; known || now.Sub(since) > unknownLife {
+			delete(s.unknown, t)
+		}
+	}
+}
--- a/pkg/store/client.go
+++ b/pkg/store/client.go
@@ -79,14 +79,14 @@
 		Rev     uint64   `json:"rev"`
 		Objects []Object `json:"objects"`
 	}
-	err := c.read(ctx, "/v1/objects?prefix="+url.QueryEscape(prefix), c.Timeout, &out)
+	err := c.Read(ctx, "/v1/objects?prefix="+url.QueryEscape(prefix), c.Timeout, &out)
 	return out.Objects, out.Rev, err
 }
 
 // Get returns one object. An absent object is a *NotFoundError.
 func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
 	var o Object
-	err := c.read(ctx, objectPath(kind, name), c.Timeout, &o)
+	err := c.Read(ctx, objectPath(kind, name), c.Timeout, &o)
 	return o, err
 }
 
@@ -98,7 +98,7 @@
 		Events []Event `json:"events"`
 	}
 	path := fmt.Sprintf("/v1/watch?since=%d&timeout=%d", since, wait.Milliseconds())
-	err := c.read(ctx, path, c.Timeout+wait, &out)
+	err := c.Read(ctx, path, c.Timeout+wait, &out)
 	return out.Events, out.Rev, err
 }
 
@@ -106,8 +106,10 @@
 	return "/v1/objects/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
 }
 
-// read repeats a GET until it has an answer or Tries is reached.
-func (c *Client) read(ctx context.Context, path string, timeout time.Duration, out any) error {
+// Read repeats a GET until it has an answer or Tries is reached, and decodes
+// the JSON of the answer into out. Readers of a store with paths of its own
+// build on it. Errors are *UnavailableError, *GoneError and *NotFoundError.
+func (c *Client) Read(ctx context.Context, path string, timeout time.Duration, out any) error {
 	for try := 1; ; try++ {
 		err := c.call(ctx, http.MethodGet, path, 0, nil, timeout, out)
 		cause, retriable := causeOf(err)
