--- a/pkg/relay/reader.go
+++ b/pkg/relay/reader.go
@@ -12,7 +12,7 @@
 const (
 	// watchWait is how long one watch waits. A connection can be silent for
 	// good, so it is well below the time in which a change must be in force.
-	watchWait = 5 * time.Second
+	watchWait = 1500 * time.Millisecond
 	// gather is the pause between two watches, in which several changes of one
 	// cause come together and cost one call.
 	gather = 250 * time.Millisecond
@@ -74,7 +74,11 @@
 		for _, bad := range b.Bad {
 			r.Log.Warn("entry of the store ignored", "kind", src.Kind(), "err", bad)
 		}
-		rev = max(rev, b.Rev)
+		// A watch without changes does not move the revision: one that the
+		// store kept from hearing would skip what it missed.
+		if b.Full || len(b.Changes) > 0 {
+			rev = max(rev, b.Rev)
+		}
 		if b.Full || len(b.Changes) > 0 {
 			apply(b)
 		}
