steer: judge servers and failure domains by what callers lack

Change: missing answers count against a server and its failure domain; suspect servers get no new flows, repeatable flows of silent ones are closed, an instance that can reach no usable server reports not ready and probes until it can. Ruled out: loss at the instance itself; a pause of the process clears the signs.

--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -99,6 +99,7 @@
 	var wg sync.WaitGroup
 	wg.Go(r.forward)
 	wg.Go(func() { r.tick(run) })
+	wg.Go(func() { r.probe(run) })
 	wg.Go(func() { follow(run, r, r.Servers, r.applyServers) })
 	wg.Go(func() { follow(run, r, r.Settings, r.applySettings) })
 	wg.Go(func() { follow(run, r, r.Domains, r.applyDomains) })
@@ -218,7 +219,7 @@
 
 func (r *Relay) ready(w http.ResponseWriter, _ *http.Request) {
 	r.mu.Lock()
-	ok := r.Steer.Ready()
+	ok := r.Steer.Ready() && !r.Steer.Isolated()
 	r.mu.Unlock()
 	if !ok || r.leaving.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/pkg/steer/evidence.go
+++ b/pkg/steer/evidence.go
@@ -7,6 +7,15 @@
 	// them, after which a server gets no new flows. One can be a lost
 	// datagram.
 	suspectMisses = 2
+	// silentMisses is the number after which open flows are given up too. It
+	// takes signs from several flows, see silent.
+	silentMisses = 3
+	// silentFor is the time without any answer that it takes as well. Callers
+	// repeat data after 200 ms.
+	silentFor = 250 * time.Millisecond
+	// cutMisses is the number of signs in a row after which a failure domain
+	// counts as cut off.
+	cutMisses = 4
 	// suspectFor is how long a suspect server gets no new flows. Callers send
 	// an opening again after 200 ms, so a trial after it costs one flow that.
 	suspectFor = time.Second
@@ -16,29 +25,41 @@
 	// are removed after three heartbeats of silence, so the server of a
 	// rightly removed record has been silent for longer.
 	aliveFor = 1500 * time.Millisecond
+	// answerWithin is the time in which a server answers an opening and the
+	// caller goes on. It is several times the longest way between failure
+	// domains, and below the 200 ms after which callers repeat an opening.
+	answerWithin = 80 * time.Millisecond
+	// maxGap is the longest time between two calls that is not a pause of the
+	// process, and distrust the time after a pause in which packets are of
+	// unknown age and their absence shows nothing.
+	maxGap   = 250 * time.Millisecond
+	distrust = 400 * time.Millisecond
 )
 
 // evidence is what packets of callers tell of whether a server answers.
 type evidence struct {
 	answeredAt time.Time
-	missedAt   time.Time
 	misses     int
+	// first is the flow of the first miss in a row; several tells that misses
+	// came from more than one flow.
+	first   flowKey
+	several bool
 	// until is when a suspect server gets a new flow as a trial.
 	until time.Time
 	wait  time.Duration
 }
 
 // answered notes that a caller got something from the server.
-func (e *evidence) answered(now time.Time) {
-	e.answeredAt = now
-	e.misses, e.wait, e.until = 0, 0, time.Time{}
-}
+func (e *evidence) answered(now time.Time) { *e = evidence{answeredAt: now} }
 
-// missed notes that a caller repeated something that the server should have
+// missed notes that a caller lacks something that the server should have
 // answered.
-func (e *evidence) missed(now time.Time) {
+func (e *evidence) missed(now time.Time, k flowKey) {
+	if e.misses == 0 {
+		e.first = k
+	}
+	e.several = e.several || k != e.first
 	e.misses++
-	e.missedAt = now
 	if e.misses < suspectMisses || now.Before(e.until) {
 		return
 	}
@@ -49,6 +70,144 @@
 // suspect reports whether the server should get no new flow.
 func (e *evidence) suspect(now time.Time) bool { return now.Before(e.until) }
 
+// silent reports whether the server answers nobody, so that its open flows are
+// lost.
+func (e *evidence) silent(now time.Time) bool {
+	return e.misses >= silentMisses && e.several && now.Sub(e.answeredAt) >= silentFor
+}
+
 func (e *evidence) alive(now time.Time) bool {
 	return !e.answeredAt.IsZero() && now.Sub(e.answeredAt) < aliveFor && e.misses < suspectMisses
 }
+
+// domain is what is known of the way to a failure domain.
+type domain struct {
+	evidence evidence
+	cut      bool
+}
+
+// domain returns the row of a failure domain.
+func (s *Steer) domain(name string) *domain {
+	d := s.domains[name]
+	if d == nil {
+		d = &domain{}
+		s.domains[name] = d
+	}
+	return d
+}
+
+// answered notes an answer of a server.
+func (s *Steer) answered(now time.Time, r *server) {
+	r.evidence.answered(now)
+	s.reached(now, r.Domain)
+}
+
+// Reached notes that something in a failure domain answered this instance.
+func (s *Steer) Reached(now time.Time, name string) { s.reached(now, name) }
+
+func (s *Steer) reached(now time.Time, name string) {
+	d := s.domain(name)
+	if d.cut {
+		s.Log.Info("failure domain reached again", "domain", name)
+	}
+	d.cut = false
+	d.evidence.answered(now)
+}
+
+// missed notes that a server did not answer a flow. After a pause of this
+// process nothing is noted.
+func (s *Steer) missed(now time.Time, r *server, k flowKey) {
+	if now.Before(s.trustAt) {
+		return
+	}
+	was := r.evidence.suspect(now)
+	r.evidence.missed(now, k)
+	if !was && r.evidence.suspect(now) {
+		s.Log.Info("server suspect", "server", r.name, "misses", r.evidence.misses, "answeredBefore", since(now, r.evidence.answeredAt), "for", r.evidence.wait, "rev", r.Rev)
+	}
+	d := s.domain(r.Domain)
+	d.evidence.missed(now, k)
+	if !d.cut && r.Domain != s.Domain && d.evidence.misses >= cutMisses && d.evidence.several {
+		d.cut = true
+		s.Log.Warn("failure domain does not answer", "domain", r.Domain, "misses", d.evidence.misses)
+	}
+}
+
+// since is the time from t to now, or 0 for no time.
+func since(now, t time.Time) time.Duration {
+	if t.IsZero() {
+		return 0
+	}
+	return now.Sub(t)
+}
+
+// pending is an opening that waits for the caller's next packet.
+type pending struct {
+	key flowKey
+	at  time.Time
+}
+
+// enter begins a call. Openings that were not answered in time count against
+// their servers.
+func (s *Steer) enter(now time.Time) {
+	if gap := now.Sub(s.entered); gap > maxGap {
+		s.trustAt = now.Add(distrust)
+		s.pending = s.pending[:0]
+	}
+	s.entered = now
+	n := 0
+	for ; n < len(s.pending) && now.Sub(s.pending[n].at) >= answerWithin; n++ {
+		p := &s.pending[n]
+		if f := s.flows.rows[p.key]; f != nil && !f.open && !f.doubted && f.openedAt.Equal(p.at) {
+			f.doubted = true
+			s.missed(now, f.server, p.key)
+		}
+	}
+	s.pending = append(s.pending[:0], s.pending[n:]...)
+}
+
+// Isolated reports whether all servers that could take new flows of some
+// service are in failure domains that do not answer. Then other instances can
+// serve its callers better.
+func (s *Steer) Isolated() bool {
+	for _, p := range s.pools {
+		cut, rest := 0, 0
+		for _, rows := range [][]*server{p.own, p.other} {
+			for _, r := range rows {
+				switch {
+				case !s.usable(r):
+				case s.domain(r.Domain).cut:
+					cut++
+				default:
+					rest++
+				}
+			}
+		}
+		if cut > 0 && rest == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Probe is a server whose answer shows that its failure domain is reached.
+type Probe struct {
+	Domain string
+	Target Target
+}
+
+// Probes appends one server for each failure domain that does not answer.
+func (s *Steer) Probes(ps []Probe) []Probe {
+	for name, d := range s.domains {
+		if !d.cut {
+			continue
+		}
+		for _, r := range s.byName {
+			if r.Domain == name {
+				ps = append(ps, Probe{name, r.target()})
+				break
+			}
+		}
+	}
+	return ps
+}
--- a/pkg/steer/flow.go
+++ b/pkg/steer/flow.go
@@ -37,6 +37,10 @@
 	askedAt time.Time
 	// repeats counts data that the caller sent again without progress.
 	repeats int
+	// sentAt is when data was last forwarded.
+	sentAt time.Time
+	// doubted tells that the missing answer to its opening was counted.
+	doubted bool
 }
 
 // flowIdle is the time without packets after which notes on a flow are
@@ -58,7 +62,7 @@
 func (t *flows) get(p *Packet) *flow { return t.rows[keyOf(p)] }
 
 // put notes that an opening went to a server. A full table forgets some flow.
-func (t *flows) put(now time.Time, p *Packet, r *server, _ *Route) {
+func (t *flows) put(now time.Time, p *Packet, r *server) {
 	k := keyOf(p)
 	f := t.rows[k]
 	if f == nil {
@@ -98,8 +102,14 @@
 // after reports whether sequence number a comes after b.
 func after(a, b uint32) bool { return int32(a-b) > 0 }
 
-// observe takes from a packet of a flow what it tells of the server.
-func (s *Steer) observe(now time.Time, p *Packet, r *server, _ *Route) {
+// repeatGap is the least time between two copies of data that a caller sends
+// because it has no answer. Copies that come closer together waited in a queue
+// on their way.
+const repeatGap = 150 * time.Millisecond
+
+// observe takes from a packet of a flow what it tells of the server. It reports
+// whether the flow is lost and its caller can safely begin anew.
+func (s *Steer) observe(now time.Time, p *Packet, r *server, rt *Route) (lost bool) {
 	f := s.flows.get(p)
 	if f == nil || f.server != r {
 		// The flow was opened by another instance or at the other server of
@@ -110,35 +120,46 @@
 	if !f.open {
 		f.open = true
 		f.acked = p.Acked
-		r.evidence.answered(now)
+		s.answered(now, r)
 		r.load.opened(now, f)
 	}
 	if after(p.Acked, f.acked) {
 		f.acked = p.Acked
 		f.repeats = 0
-		r.evidence.answered(now)
+		s.answered(now, r)
 		r.load.answered(now, f, p)
 	}
+	if p.Size > 0 {
+		s.data(now, p, f)
+		lost = rt != nil && rt.Repeatable && (r.evidence.silent(now) || f.repeats >= 2 && r.evidence.suspect(now))
+	}
+	if p.End || p.Reset {
+		s.flows.forget(p)
+	}
+	return lost
+}
+
+// data takes data that a caller sends, for the first time or again.
+func (s *Steer) data(now time.Time, p *Packet, f *flow) {
+	end := p.Seq + uint32(p.Size)
 	switch {
-	case p.Size > 0 && after(p.Seq+uint32(p.Size), f.seq):
-		f.seq = p.Seq + uint32(p.Size)
+	case after(end, f.seq):
+		f.seq = end
 		if f.askedAt.IsZero() {
 			f.askedAt = now
-			r.load.asked(now)
+			f.server.load.asked(now)
 		}
-	case p.Size > 0:
+	case end == f.seq && now.Sub(f.sentAt) >= repeatGap:
 		f.repeats++
-		r.evidence.missed(now)
-	}
-	if p.End || p.Reset {
-		s.flows.forget(p)
+		s.missed(now, f.server, keyOf(p))
 	}
+	f.sentAt = now
 }
 
 // adopt notes an open flow that this instance did not open.
 func (t *flows) adopt(now time.Time, p *Packet, r *server) *flow {
 	t.forget(p)
-	t.put(now, p, r, nil)
+	t.put(now, p, r)
 	f := t.get(p)
 	r.load.opened(now, f)
 	f.open, f.acked = true, p.Acked
@@ -153,6 +174,8 @@
 	}
 	s.Copied++
 	f.server.load.unopened(now)
-	f.server.evidence.missed(now)
+	if !f.doubted {
+		s.missed(now, f.server, keyOf(p))
+	}
 	s.Log.Info("opening not answered", "flow", p, "server", f.server.name, "copy", p.Copy, "after", now.Sub(f.openedAt), "misses", f.server.evidence.misses)
 }
--- a/pkg/steer/place.go
+++ b/pkg/steer/place.go
@@ -60,7 +60,7 @@
 	var best *server
 	var low float64
 	for _, r := range rows {
-		if r == tried || !s.usable(r) || r.evidence.suspect(now) || now.Sub(r.seenAt) < s.Limits.SettleFor {
+		if r == tried || !s.usable(r) || r.evidence.suspect(now) || s.domain(r.Domain).cut || now.Sub(r.seenAt) < s.Limits.SettleFor {
 			continue
 		}
 		if sc := s.score(now, r); best == nil || sc < low {
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -61,8 +61,12 @@
 	flows    flows
 	gone     tokenSet // tokens of servers that were dropped
 	unknown  map[uint32]time.Time
+	domains  map[string]*domain
+	pending  []pending
 	listed   bool
 	tickedAt time.Time
+	entered  time.Time // latest call
+	trustAt  time.Time // signs of silence count from then on
 }
 
 // Start prepares the tables.
@@ -82,6 +86,8 @@
 	s.byToken = map[uint32]*server{}
 	s.pools = map[string]*pool{}
 	s.unknown = map[uint32]time.Time{}
+	s.domains = map[string]*domain{}
+	s.entered = now
 	s.flows.start(s.Limits.Flows)
 	s.gone.start()
 }
@@ -94,6 +100,7 @@
 
 // Handle decides what happens to a caller's packet.
 func (s *Steer) Handle(now time.Time, p *Packet) Verdict {
+	s.enter(now)
 	var v Verdict
 	if p.Open {
 		v = s.open(now, p)
@@ -138,7 +145,8 @@
 	if r.Domain != s.Domain {
 		s.Crossed++
 	}
-	s.flows.put(now, p, r, rt)
+	s.flows.put(now, p, r)
+	s.pending = append(s.pending, pending{keyOf(p), now})
 	return forward(r)
 }
 
@@ -153,7 +161,11 @@
 		s.flows.forget(p)
 		return refuse(wire.ReasonUnknownService)
 	}
-	s.observe(now, p, r, rt)
+	if s.observe(now, p, r, rt) {
+		s.Log.Info("flow closed", "flow", p, "reason", wire.ReasonTimeout, "server", r.name, "misses", r.evidence.misses, "answeredBefore", since(now, r.evidence.answeredAt))
+		s.flows.forget(p)
+		return refuse(wire.ReasonTimeout)
+	}
 	return forward(r)
 }
 
@@ -180,6 +192,7 @@
 
 // Tick expires what is due. Call it several times a second.
 func (s *Steer) Tick(now time.Time) {
+	s.enter(now)
 	s.expireLapsed(now)
 	if now.Sub(s.tickedAt) < time.Second {
 		return
