steer, pick: place flows by the expected time to an answer

Change: pick.Gauge, taken out of the picker's row, estimates service time and wait; steer adds recent work and crosses to another failure domain only when the own one is well past its goal and the other far better.

--- a/pkg/pick/build.go
+++ b/pkg/pick/build.go
@@ -52,6 +52,7 @@
 		r = &row{id: rec.ID, generation: rec.Generation, addr: rec.Addr, offset: offsetOf(rec.ID)}
 	}
 	r.limits, r.place = limitsOf(b.values.Server(&rec)), b.places[key]
+	r.Slots = r.limits.slots
 	r.from = b.s.MarkedSince(&rec).Add(conf.EffectAfter)
 	r.local, r.out = rec.Domain == b.p.Domain, isOut(b.s, half, rec.Domain)
 	b.p.rows[rec.ID] = r
--- a/pkg/pick/cold_test.go
+++ b/pkg/pick/cold_test.go
@@ -274,7 +274,7 @@
 	_, reason := p.Place(begin, ask)
 	assert.Equal(t, reason, wire.ReasonOverloaded)
 	// A shed shows a full queue: 6 requests of 500 ms before a new one.
-	p.rows[1].inFlight, p.rows[1].latency = 1, 500*time.Millisecond
+	p.rows[1].InFlight, p.rows[1].Latency = 1, 500*time.Millisecond
 	p.Finished(begin, last, Result{Outcome: Shed})
 	_, reason = p.Place(begin, ask)
 	assert.Equal(t, reason, wire.ReasonOverloaded)
--- a/pkg/pick/picker.go
+++ b/pkg/pick/picker.go
@@ -58,14 +58,9 @@
 	// refuse the tokens of flows opened on it.
 	from time.Time
 
-	inFlight  int
-	latency   time.Duration
-	load      wire.Load
-	loadAt    time.Time
-	backlog   float64
-	work      float64
-	workAt    time.Time
-	backlogAt time.Time
+	Gauge
+	load   wire.Load
+	loadAt time.Time
 
 	epoch    int64     // epoch of coldUsed and opened
 	coldUsed int       // units in use until the epoch ends
--- a/pkg/pick/place.go
+++ b/pkg/pick/place.go
@@ -176,11 +176,11 @@
 		if r.opened >= r.flowShare() {
 			return o, wire.ReasonOverloaded
 		}
-	} else if r.inFlight >= r.limits.warmLimit() {
+	} else if r.InFlight >= r.limits.warmLimit() {
 		return o, wire.ReasonOverloaded
 	}
-	o.wait = r.wait(now)
-	o.score = o.wait + time.Duration(r.worked(now)*workWeight)
+	o.wait = r.Wait(now)
+	o.score = o.wait + time.Duration(r.Worked(now)*workWeight)
 	if ask.Flow {
 		o.score += r.filled()
 	}
@@ -194,7 +194,7 @@
 	epoch, end, ok := r.limits.window(now)
 	o.limit(end)
 	o.limit(ask.ColdUntil)
-	if !ok || now.Before(p.quiet) || r.place.index < 0 || o.deadline.Sub(now) <= 2*r.latency {
+	if !ok || now.Before(p.quiet) || r.place.index < 0 || o.deadline.Sub(now) <= 2*r.Latency {
 		return o, wire.ReasonColdLimit
 	}
 	r.roll(epoch)
@@ -206,7 +206,7 @@
 		return o, wire.ReasonNone
 	}
 	units := r.place.units(r.offset, epoch, total)
-	if max(r.coldUsed, r.inFlight) >= units {
+	if max(r.coldUsed, r.InFlight) >= units {
 		return o, wire.ReasonColdLimit
 	}
 	return o, wire.ReasonNone
@@ -253,8 +253,7 @@
 		_, stage, _ := p.Servers.Stage(r.id)
 		r.flowAt = now.Add(time.Second / time.Duration(r.limits.coldFlows<<min(stage, 8)))
 	} else {
-		r.inFlight++
-		r.work, r.workAt = r.worked(now)+float64(r.latency)/float64(r.limits.slots), now
+		r.Begin(now)
 		if o.cold {
 			r.coldUsed++
 		}
--- a/pkg/steer/evidence.go
+++ b/pkg/steer/evidence.go
@@ -7,8 +7,8 @@
 	// them, after which a server gets no new flows. One can be a lost
 	// datagram.
 	suspectMisses = 2
-	// silentMisses is the number after which open flows are given up too. It
-	// takes signs from several flows, see silent.
+	// silentMisses is the number of times that callers repeated data after
+	// which open flows are given up too. It takes several flows, see silent.
 	silentMisses = 3
 	// silentFor is the time without any answer that it takes as well. Callers
 	// repeat data after 200 ms.
@@ -40,6 +40,9 @@
 type evidence struct {
 	answeredAt time.Time
 	misses     int
+	// unacked are the misses that were data of an open flow. A full server
+	// ignores openings, but takes the data of its flows.
+	unacked int
 	// first is the flow of the first miss in a row; several tells that misses
 	// came from more than one flow.
 	first   flowKey
@@ -73,7 +76,7 @@
 // silent reports whether the server answers nobody, so that its open flows are
 // lost.
 func (e *evidence) silent(now time.Time) bool {
-	return e.misses >= silentMisses && e.several && now.Sub(e.answeredAt) >= silentFor
+	return e.unacked >= silentMisses && e.several && now.Sub(e.answeredAt) >= silentFor
 }
 
 func (e *evidence) alive(now time.Time) bool {
--- a/pkg/steer/flow.go
+++ b/pkg/steer/flow.go
@@ -68,7 +68,7 @@
 	if f == nil {
 		if len(t.rows) >= t.max {
 			for old, g := range t.rows {
-				g.end(now)
+					g.end()
 				delete(t.rows, old)
 				break
 			}
@@ -77,7 +77,7 @@
 		t.rows[k] = f
 	}
 	*f = flow{server: r, seenAt: now, openedAt: now, seq: p.Seq}
-	r.load.opening(now)
+	r.load.opening()
 }
 
 func (t *flows) forget(p *Packet) {
@@ -91,13 +91,13 @@
 func (t *flows) expire(now time.Time) {
 	for k, f := range t.rows {
 		if now.Sub(f.seenAt) > flowIdle {
-			f.end(now)
+			f.end()
 			delete(t.rows, k)
 		}
 	}
 }
 
-func (f *flow) end(time.Time) { f.server.load.finished(f) }
+func (f *flow) end() { f.server.load.finished(f) }
 
 // after reports whether sequence number a comes after b.
 func after(a, b uint32) bool { return int32(a-b) > 0 }
@@ -121,13 +121,13 @@
 		f.open = true
 		f.acked = p.Acked
 		s.answered(now, r)
-		r.load.opened(now, f)
+		r.load.opened()
 	}
 	if after(p.Acked, f.acked) {
 		f.acked = p.Acked
 		f.repeats = 0
 		s.answered(now, r)
-		r.load.answered(now, f, p)
+		r.load.answered(now, f)
 	}
 	if p.Size > 0 {
 		s.data(now, p, f)
@@ -147,10 +147,11 @@
 		f.seq = end
 		if f.askedAt.IsZero() {
 			f.askedAt = now
-			f.server.load.asked(now)
+			f.server.load.Begin(now)
 		}
 	case end == f.seq && now.Sub(f.sentAt) >= repeatGap:
 		f.repeats++
+		f.server.evidence.unacked++
 		s.missed(now, f.server, keyOf(p))
 	}
 	f.sentAt = now
@@ -161,7 +162,7 @@
 	t.forget(p)
 	t.put(now, p, r)
 	f := t.get(p)
-	r.load.opened(now, f)
+	r.load.opened()
 	f.open, f.acked = true, p.Acked
 	return f
 }
@@ -173,7 +174,7 @@
 		return
 	}
 	s.Copied++
-	f.server.load.unopened(now)
+	f.server.load.unopened()
 	if !f.doubted {
 		s.missed(now, f.server, keyOf(p))
 	}
--- a/pkg/steer/place.go
+++ b/pkg/steer/place.go
@@ -26,22 +26,49 @@
 	slices.SortFunc(p.other, byName)
 }
 
-// place chooses the server of a new flow, other than the one that did not
-// answer an earlier copy of its opening if there is another.
-func (s *Steer) place(now time.Time, service string, tried *server) (*server, wire.Reason) {
+const (
+	// farCost is added to the estimate of a server in another failure domain:
+	// the longer way there.
+	farCost = 5 * time.Millisecond
+	// farGain is the part of the own domain's estimate below which another
+	// domain must be. Bytes between failure domains are paid for, and
+	// estimates of servers that get little work are old.
+	farGain = 0.6
+	// nearGoal is the part of a route's goal up to which the own failure
+	// domain is good enough.
+	nearGoal = 0.7
+	// firstLatency is the service time assumed of a service without answers.
+	firstLatency = 20 * time.Millisecond
+	// busyWeight is by how much work of late at a server adds to its estimate,
+	// for each second of work in a second.
+	busyWeight = 2
+	// spread is the random part of an estimate. It keeps instances that know
+	// the same from choosing the same server.
+	spread = 0.2
+	// coldFactor is how much slower a server is assumed to be after its start.
+	coldFactor = 2
+)
+
+// place chooses the server of a new flow: the one with the least expected time
+// to an answer. The own failure domain comes first until its servers are busy.
+// A server that did not answer an earlier copy of the opening comes last.
+func (s *Steer) place(now time.Time, service string, goal time.Duration, tried *server) (*server, wire.Reason) {
 	p := s.pools[service]
 	if p == nil {
 		return nil, wire.ReasonNoServer
 	}
-	best := s.best(now, p.own, tried)
-	if best == nil {
-		best = s.best(now, p.other, tried)
+	best, near := s.best(now, p, p.own, tried)
+	if best == nil || near > time.Duration(nearGoal*float64(goal)) {
+		other, far := s.best(now, p, p.other, tried)
+		if best == nil || other != nil && far+farCost < time.Duration(farGain*float64(near)) {
+			best = other
+		}
 	}
 	if best == nil && tried != nil && s.usable(tried) {
 		best = tried
 	}
 	if best == nil {
-		best = s.trial(now, p)
+		best = s.trial(p)
 	}
 	if best == nil {
 		return nil, wire.ReasonNoServer
@@ -55,26 +82,26 @@
 	return !out && !r.Leaving && r.token != 0 && s.byName[r.name] == r
 }
 
-// best returns the server with the lowest score.
-func (s *Steer) best(now time.Time, rows []*server, tried *server) *server {
+// best returns the server with the lowest estimate.
+func (s *Steer) best(now time.Time, p *pool, rows []*server, tried *server) (*server, time.Duration) {
 	var best *server
-	var low float64
+	var low time.Duration
 	for _, r := range rows {
 		if r == tried || !s.usable(r) || r.evidence.suspect(now) || s.domain(r.Domain).cut || now.Sub(r.seenAt) < s.Limits.SettleFor {
 			continue
 		}
-		if sc := s.score(now, r); best == nil || sc < low {
-			best, low = r, sc
+		if e := s.estimate(now, p, r); best == nil || e < low {
+			best, low = r, e
 		}
 	}
-	return best
+	return best, low
 }
 
 // trial returns any server that may get new flows, when all are suspect or
-// new.
-func (s *Steer) trial(now time.Time, p *pool) *server {
-	var best *server
+// new: the one whose suspicion ends first.
+func (s *Steer) trial(p *pool) *server {
 	for _, rows := range [][]*server{p.own, p.other} {
+		var best *server
 		for _, r := range rows {
 			if s.usable(r) && (best == nil || r.evidence.until.Before(best.evidence.until)) {
 				best = r
@@ -87,13 +114,36 @@
 	return nil
 }
 
-// score estimates the wait at a server: work in progress and of late for each
-// slot. A random part keeps instances that know the same from choosing the
-// same server.
-func (s *Steer) score(now time.Time, r *server) float64 {
-	n := float64(r.load.openings+r.load.active) + r.load.worked(now) + 0.2*float64(r.load.flows)
+// estimate is the expected time to the answer of a request sent now.
+func (s *Steer) estimate(now time.Time, p *pool, r *server) time.Duration {
+	g := &r.load
+	lat := g.Latency
+	if lat == 0 {
+		lat = p.latency()
+	}
 	if now.Before(r.coldUntil) {
-		n = 2*n + 1
+		lat *= coldFactor
+	}
+	slots := float64(max(r.Slots, 1))
+	waiting := (float64(g.InFlight+g.openings) + g.Met(now)) / slots
+	busy := busyWeight * time.Duration(g.Worked(now)).Seconds()
+	return time.Duration(float64(lat) * (1 + waiting + busy) * (1 + spread*s.rnd.Float64()))
+}
+
+// latency is the mean service time of the servers that gave answers.
+func (p *pool) latency() time.Duration {
+	var sum time.Duration
+	n := 0
+	for _, rows := range [][]*server{p.own, p.other} {
+		for _, r := range rows {
+			if r.load.Latency > 0 {
+				sum += r.load.Latency
+				n++
+			}
+		}
+	}
+	if n == 0 {
+		return firstLatency
 	}
-	return (n + s.rnd.Float64()) / float64(max(r.Slots, 1))
+	return sum / time.Duration(n)
 }
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -136,7 +136,7 @@
 		tried = f.server
 		s.unanswered(now, f, p)
 	}
-	r, why := s.place(now, s.choose(rt), tried)
+	r, why := s.place(now, s.choose(rt), rt.Goal, tried)
 	if r == nil {
 		s.Log.Info("opening refused", "flow", p, "reason", why, "version", s.settings.Version)
 		return refuse(why)
