feed, relay: share what one instance reads of the store over a tree

Change: pkg/feed holds facts with revisions, a tree over the members and the age at which an instance reads the store itself; pkg/relay asks the parent over connect.

--- a/pkg/admin/client.go
+++ b/pkg/admin/client.go
@@ -88,7 +88,7 @@
 }
 
 func client[Req, Res any](c *Client, path string) (*connect.Client[Req, Res], error) {
-	cd, err := newCodec()
+	cd, err := NewCodec()
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/admin/codec.go
+++ b/pkg/admin/codec.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 
+	"connectrpc.com/connect"
 	"github.com/fxamacker/cbor/v2"
 )
 
@@ -14,19 +15,20 @@
 	dec cbor.DecMode
 }
 
-func newCodec() (codec, error) {
+// NewCodec returns a codec of connect that carries any Go type as CBOR.
+func NewCodec() (connect.Codec, error) {
 	opt := cbor.CoreDetEncOptions()
 	// Whole seconds, the default, would cut times.
 	opt.Time = cbor.TimeRFC3339Nano
 	enc, err := opt.EncMode()
 	if err != nil {
-		return codec{}, fmt.Errorf("CBOR encoder: %w", err)
+		return nil, fmt.Errorf("CBOR encoder: %w", err)
 	}
 	dec, err := cbor.DecOptions{
 		DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
 	}.DecMode()
 	if err != nil {
-		return codec{}, fmt.Errorf("CBOR decoder: %w", err)
+		return nil, fmt.Errorf("CBOR decoder: %w", err)
 	}
 	return codec{enc, dec}, nil
 }
--- a/pkg/admin/server.go
+++ b/pkg/admin/server.go
@@ -31,7 +31,7 @@
 
 // Handler returns the HTTP handler of the services.
 func (s *Server) Handler() (http.Handler, error) {
-	c, err := newCodec()
+	c, err := NewCodec()
 	if err != nil {
 		return nil, err
 	}
@@ -40,10 +40,10 @@
 		connect.WithInterceptors(counting{&s.Refusals}),
 	}
 	mux := http.NewServeMux()
-	mux.Handle(pullPath, s.guard(s.ClusterKey, s.record(connect.NewUnaryHandler(pullPath, unary(s.pull), opts...))))
-	mux.Handle(statusPath, s.guard(s.OperatorKey, s.record(connect.NewUnaryHandler(statusPath, unary(s.status), opts...))))
-	mux.Handle(settingsPath, s.guard(s.OperatorKey, s.record(connect.NewUnaryHandler(settingsPath, unary(s.settings), opts...))))
-	mux.Handle(notifyPath, s.guard(s.OperatorKey, s.record(connect.NewUnaryHandler(notifyPath, unary(s.notify), opts...))))
+	mux.Handle(pullPath, s.guard(s.ClusterKey, s.record(connect.NewUnaryHandler(pullPath, Unary(s.pull), opts...))))
+	mux.Handle(statusPath, s.guard(s.OperatorKey, s.record(connect.NewUnaryHandler(statusPath, Unary(s.status), opts...))))
+	mux.Handle(settingsPath, s.guard(s.OperatorKey, s.record(connect.NewUnaryHandler(settingsPath, Unary(s.settings), opts...))))
+	mux.Handle(notifyPath, s.guard(s.OperatorKey, s.record(connect.NewUnaryHandler(notifyPath, Unary(s.notify), opts...))))
 	mux.Handle(watchPath, s.guard(s.OperatorKey, connect.NewServerStreamHandler(watchPath, s.watch, opts...)))
 	if s.Debug != nil {
 		mux.Handle(countersPath, s.guard(s.OperatorKey, s.record(s.Debug)))
@@ -51,8 +51,8 @@
 	return mux, nil
 }
 
-// unary adapts a function over plain types.
-func unary[Req, Res any](f func(context.Context, Req) (Res, error)) func(context.Context, *connect.Request[Req]) (*connect.Response[Res], error) {
+// Unary adapts a function over plain types.
+func Unary[Req, Res any](f func(context.Context, Req) (Res, error)) func(context.Context, *connect.Request[Req]) (*connect.Response[Res], error) {
 	return func(ctx context.Context, r *connect.Request[Req]) (*connect.Response[Res], error) {
 		res, err := f(ctx, *r.Msg)
 		if err != nil {
--- /dev/null
+++ b/pkg/feed/book.go
@@ -0,0 +1,237 @@
+// Package feed decides how instances share what one of them reads of the
+// platform's store: a book of facts with revisions, a tree over the members
+// and the freshness that makes an instance read the store itself. Time and
+// messages come in; there are no sockets, goroutines or clocks.
+package feed
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Kind is a kind of facts.
+type Kind uint8
+
+// Kinds of facts.
+const (
+	Settings Kind = iota
+	Servers
+	Domains
+	// Kinds is their number.
+	Kinds
+)
+
+var kindNames = [Kinds]string{"settings", "servers", "domains"}
+
+// String names the kind in log lines.
+func (k Kind) String() string {
+	if k >= Kinds {
+		return "invalid"
+	}
+	return kindNames[k]
+}
+
+// Fact is one object of the store, or its removal.
+type Fact struct {
+	_    struct{} `cbor:",toarray"`
+	Name string
+	// Rev is the revision of the object's last change.
+	Rev     uint64
+	Deleted bool
+	// Spec is the content as the store holds it, see Pack.
+	Spec []byte
+}
+
+// hash is the part of a fact in the checksum of its kind; 0 for one that does
+// not exist.
+func (f *Fact) hash() uint64 {
+	if f.Deleted || f.Name == "" {
+		return 0
+	}
+	return xxhash.Sum64String(f.Name) ^ (f.Rev+1)*0x9E3779B97F4A7C15 // spreads revisions over all bits
+}
+
+// Delta is a part of one kind's facts that leads from revision Since to Rev.
+type Delta struct {
+	_          struct{} `cbor:",toarray"`
+	Kind       Kind
+	Since, Rev uint64
+	// Full tells that Facts are all that exist at Rev, whatever came before.
+	Full  bool
+	Facts []Fact
+}
+
+// Book holds the facts that an instance knows.
+type Book struct {
+	shelves [Kinds]shelf
+	// origin is the instance that read the latest confirmation from the store.
+	origin string
+}
+
+type shelf struct {
+	rev   uint64
+	floor uint64 // deltas can be given from here on
+	facts map[string]entry
+	// sum is a checksum of the facts that exist. Two instances that read the
+	// same facts at different revisions of the store have the same.
+	sum uint64
+	// confirmed is when the store last said that rev is current.
+	confirmed time.Time
+}
+
+// entry is a fact and the revision of the shelf at which it came.
+type entry struct {
+	Fact
+	at uint64
+}
+
+// Take takes over facts that were current at the time at, and returns those
+// that are new here. An older delta, or one that does not start from a known
+// revision, changes nothing; ok tells that the facts are now at d.Rev or later.
+func (b *Book) Take(at time.Time, d Delta) (news Delta, ok bool) {
+	if d.Kind >= Kinds {
+		return Delta{}, false
+	}
+	s := &b.shelves[d.Kind]
+	if !d.Full && d.Since > s.rev || s.facts == nil && !d.Full {
+		return Delta{}, false
+	}
+	if d.Rev < s.rev {
+		return Delta{}, true
+	}
+	news = Delta{Kind: d.Kind, Since: s.rev, Rev: d.Rev}
+	if d.Rev > s.rev || s.facts == nil {
+		news.Full = d.Full
+		news.Facts = s.merge(d)
+	}
+	s.rev = d.Rev
+	if at.After(s.confirmed) {
+		s.confirmed = at
+	}
+	return news, true
+}
+
+func (s *shelf) merge(d Delta) []Fact {
+	if d.Full {
+		old := s.facts
+		s.facts = make(map[string]entry, len(d.Facts))
+		s.floor = d.Rev
+		s.sum = 0
+		for _, f := range d.Facts {
+			s.sum ^= f.hash()
+			at := d.Rev
+			if e, ok := old[f.Name]; ok && e.Rev == f.Rev {
+				at = e.at
+			}
+			s.facts[f.Name] = entry{f, at}
+		}
+		return d.Facts
+	}
+	var out []Fact
+	for _, f := range d.Facts {
+		e, ok := s.facts[f.Name]
+		if ok && f.Rev < e.Rev {
+			continue
+		}
+		s.sum ^= e.hash() ^ f.hash()
+		s.facts[f.Name] = entry{f, d.Rev}
+		out = append(out, f)
+	}
+	return out
+}
+
+// Since returns what an instance at a revision lacks of a kind. ok is false
+// when there is nothing to tell.
+func (b *Book) Since(k Kind, rev uint64) (d Delta, ok bool) {
+	s := &b.shelves[k]
+	if s.facts == nil || rev > s.rev {
+		return Delta{}, false
+	}
+	d = Delta{Kind: k, Since: rev, Rev: s.rev, Full: rev < s.floor || rev == 0}
+	for _, e := range s.facts {
+		if d.Full && !e.Deleted || !d.Full && e.at > rev {
+			d.Facts = append(d.Facts, e.Fact)
+		}
+	}
+	return d, true
+}
+
+// maxTombs is the number of removed facts of a kind that are kept to give
+// deltas; with more of them a full answer is smaller.
+const maxTombs = 512
+
+// Trim forgets removed facts when there are many. Deltas from before then need
+// the full facts.
+func (b *Book) Trim() {
+	for k := range b.shelves {
+		s := &b.shelves[k]
+		tombs := 0
+		for _, e := range s.facts {
+			if e.Deleted {
+				tombs++
+			}
+		}
+		if tombs <= maxTombs {
+			continue
+		}
+		s.floor = s.rev
+		for name, e := range s.facts {
+			if e.Deleted {
+				delete(s.facts, name)
+			}
+		}
+	}
+}
+
+// Revs returns the revisions of all kinds.
+func (b *Book) Revs() [Kinds]uint64 {
+	var out [Kinds]uint64
+	for k := range b.shelves {
+		out[k] = b.shelves[k].rev
+	}
+	return out
+}
+
+// Sums returns the checksums of the facts of all kinds.
+func (b *Book) Sums() [Kinds]uint64 {
+	var out [Kinds]uint64
+	for k := range b.shelves {
+		out[k] = b.shelves[k].sum
+	}
+	return out
+}
+
+// Complete reports whether facts of all kinds are known.
+func (b *Book) Complete() bool {
+	for k := range b.shelves {
+		if b.shelves[k].facts == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// Confirmed is the time at which the facts of all kinds were last current.
+func (b *Book) Confirmed() time.Time {
+	at := b.shelves[0].confirmed
+	for k := range b.shelves {
+		if c := b.shelves[k].confirmed; c.Before(at) {
+			at = c
+		}
+	}
+	return at
+}
+
+// Confirm notes that a kind was current at a time.
+func (b *Book) Confirm(k Kind, at time.Time) {
+	if s := &b.shelves[k]; at.After(s.confirmed) {
+		s.confirmed = at
+	}
+}
+
+// Origin names the instance that read the latest confirmation.
+func (b *Book) Origin() string { return b.origin }
+
+// SetOrigin notes who read the latest confirmation.
+func (b *Book) SetOrigin(name string) { b.origin = name }
--- /dev/null
+++ b/pkg/feed/message.go
@@ -0,0 +1,71 @@
+package feed
+
+import "time"
+
+// Question asks another instance for facts.
+type Question struct {
+	_ struct{} `cbor:",toarray"`
+	// Members are the asking instance, first, and some others.
+	Members []Member
+	// Have are the revisions of the facts that it has.
+	Have [Kinds]uint64
+	// Wait in milliseconds is how long the answer may wait for news.
+	Wait uint32
+}
+
+// Answer gives the facts that the asking instance lacks.
+type Answer struct {
+	_       struct{} `cbor:",toarray"`
+	Members []Member
+	Deltas  []Delta
+	// Age in milliseconds is how long ago the facts were current. Origin is
+	// the instance that read them from the store, empty without facts.
+	Age    uint32
+	Origin string
+	// Sums are checksums of all facts that the answering instance has.
+	Sums [Kinds]uint64
+}
+
+// Learn takes over an answer that came at now, for the instance self. It returns
+// what is new, and when the facts of both were last current; zero when they
+// differ or when self read them from the store.
+func (b *Book) Learn(now time.Time, self string, a *Answer) (news []Delta, current time.Time) {
+	if a.Origin == "" {
+		return nil, time.Time{}
+	}
+	var at time.Time
+	if a.Origin != self {
+		at = now.Add(-time.Duration(a.Age) * time.Millisecond)
+	}
+	for _, d := range a.Deltas {
+		if n, ok := b.Take(at, d); ok && (len(n.Facts) > 0 || n.Full) {
+			news = append(news, n)
+		}
+	}
+	if b.Sums() != a.Sums {
+		return news, time.Time{}
+	}
+	for k := range Kinds {
+		b.Confirm(k, at)
+	}
+	if b.Confirmed().Equal(at) {
+		b.origin = a.Origin
+	}
+	return news, at
+}
+
+// Answer returns what an instance with the revisions have lacks.
+func (b *Book) Answer(now time.Time, have [Kinds]uint64) Answer {
+	a := Answer{Origin: b.origin, Sums: b.Sums()}
+	for k := range Kinds {
+		if d, ok := b.Since(k, have[k]); ok && (d.Rev > have[k] || d.Full) {
+			a.Deltas = append(a.Deltas, d)
+		}
+	}
+	if c := b.Confirmed(); !c.IsZero() {
+		a.Age = uint32(max(now.Sub(c), 0) / time.Millisecond)
+	} else {
+		a.Origin = ""
+	}
+	return a
+}
--- /dev/null
+++ b/pkg/relay/peer.go
@@ -0,0 +1,229 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"ebonypaddle/pkg/admin"
+	"ebonypaddle/pkg/feed"
+)
+
+const (
+	// askPath is the path of the call by which instances exchange facts.
+	askPath = "/ebonypaddle.relay.v1.Relay/Ask"
+	// askWait is how long an answer waits for news. The reader confirms its
+	// facts more often.
+	askWait = 1500 * time.Millisecond
+	// askSlack is the time for a call beyond its wait, and dialTime the time
+	// for a connection. They are many times the longest way.
+	askSlack = 500 * time.Millisecond
+	dialTime = 300 * time.Millisecond
+	// askPause is the least time between two calls, in which changes come
+	// together.
+	askPause = 20 * time.Millisecond
+	// meetEvery is the interval at which the reader calls some member, so that
+	// new ones hear of it, and searchEvery that of a search for facts.
+	meetEvery   = 2 * time.Second
+	searchEvery = 300 * time.Millisecond
+	// staleAge is the age of the facts at which the reader searches.
+	staleAge = 2 * time.Second
+	// settleTime is the longest wait for the store after a restart before
+	// others are asked. The store answers in milliseconds.
+	settleTime = 300 * time.Millisecond
+	// maxMessage bounds a message in bytes.
+	maxMessage = 64 << 20
+	// keepIdle, keepTries: an idle connection that is silent is found dead
+	// after about 3 s.
+	keepIdle  = time.Second
+	keepTries = 2
+)
+
+// errLeaving tells an asking instance to ask another one.
+var errLeaving = errors.New("instance is leaving")
+
+// servePeers answers other instances.
+func (r *Relay) servePeers() (*http.Server, error) {
+	codec, err := admin.NewCodec()
+	if err != nil {
+		return nil, err
+	}
+	l, err := net.Listen("tcp4", r.Control.String())
+	if err != nil {
+		return nil, fmt.Errorf("control address: %w", err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle(askPath, connect.NewUnaryHandler(askPath, admin.Unary(r.answer), connect.WithCodec(codec), connect.WithReadMaxBytes(maxMessage)))
+	return r.serve(l, mux), nil
+}
+
+// answer gives another instance what it lacks, as soon as there is something
+// new or the facts are confirmed again.
+func (r *Relay) answer(ctx context.Context, q feed.Question) (feed.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(q.Wait)*time.Millisecond)
+	defer cancel()
+	r.fmu.Lock()
+	defer r.fmu.Unlock()
+	r.members.Heard(r.Clock(), q.Members)
+	confirmed := r.book.Confirmed()
+	for {
+		if r.leaving.Load() {
+			return feed.Answer{}, connect.NewError(connect.CodeUnavailable, errLeaving)
+		}
+		now := r.Clock()
+		a := r.book.Answer(now, q.Have)
+		if len(a.Deltas) > 0 || r.book.Confirmed().After(confirmed) || ctx.Err() != nil {
+			a.Members = r.members.Tell(now)
+			return a, nil
+		}
+		news := r.news
+		r.fmu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-news:
+		}
+		r.fmu.Lock()
+	}
+}
+
+// asker calls other instances.
+type asker struct {
+	http  *http.Client
+	codec connect.Codec
+}
+
+func newAsker() (*asker, error) {
+	codec, err := admin.NewCodec()
+	if err != nil {
+		return nil, err
+	}
+	d := &net.Dialer{Timeout: dialTime, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepIdle, Interval: keepIdle, Count: keepTries}}
+	return &asker{&http.Client{Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true}}, codec}, nil
+}
+
+func (a *asker) ask(ctx context.Context, to netip.AddrPort, q feed.Question) (*feed.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(q.Wait)*time.Millisecond+askSlack)
+	defer cancel()
+	c := connect.NewClient[feed.Question, feed.Answer](a.http, "http://"+to.String()+askPath, connect.WithCodec(a.codec), connect.WithReadMaxBytes(maxMessage), connect.WithAcceptCompression("gzip", nil, nil))
+	res, err := c.CallUnary(ctx, connect.NewRequest(&q))
+	if err != nil {
+		return nil, fmt.Errorf("ask %s: %w", to, err)
+	}
+	return res.Msg, nil
+}
+
+// meet asks the seeds at once, so that this instance and others hear of each
+// other, and returns when all have answered.
+func (r *Relay) meet(ctx context.Context, a *asker) {
+	var wg sync.WaitGroup
+	for _, s := range r.Seeds {
+		if s != r.Control {
+			wg.Go(func() { r.exchange(ctx, a, s, 0) })
+		}
+	}
+	wg.Wait()
+}
+
+// settle waits for the facts of the store after a restart: serving callers
+// comes before meeting other instances.
+func (r *Relay) settle(ctx context.Context) {
+	if r.Duty.First {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, settleTime)
+	defer cancel()
+	for ctx.Err() == nil {
+		r.fmu.Lock()
+		done, news := r.book.Complete(), r.news
+		r.fmu.Unlock()
+		if done {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-news:
+		}
+	}
+}
+
+// ask gets facts from the parent in the tree of instances.
+func (r *Relay) ask(ctx context.Context) {
+	r.settle(ctx)
+	a, err := newAsker()
+	if err != nil {
+		r.Log.Error("other instances cannot be asked", "err", err)
+		return
+	}
+	r.meet(ctx, a)
+	var last netip.AddrPort
+	first := true
+	for ctx.Err() == nil {
+		now := r.Clock()
+		r.fmu.Lock()
+		parent, level := r.members.Parent(now)
+		r.level = level
+		age := since(now, r.book.Confirmed())
+		r.fmu.Unlock()
+		if parent != last || first {
+			r.Log.Info("source of facts changed", "parent", parent, "level", level)
+			last, first = parent, false
+		}
+		if level > 0 {
+			r.exchange(ctx, a, parent, askWait)
+			sleep(ctx, askPause)
+			continue
+		}
+		r.fmu.Lock()
+		other, ok := r.members.Any(now)
+		r.fmu.Unlock()
+		if ok {
+			r.exchange(ctx, a, other, 0)
+		} else {
+			r.meet(ctx, a)
+		}
+		if age > staleAge {
+			sleep(ctx, searchEvery)
+		} else {
+			sleep(ctx, meetEvery)
+		}
+	}
+}
+
+// exchange asks one instance and takes over what it answers.
+func (r *Relay) exchange(ctx context.Context, a *asker, to netip.AddrPort, wait time.Duration) {
+	r.fmu.Lock()
+	q := feed.Question{Members: r.members.Tell(r.Clock()), Have: r.book.Revs(), Wait: uint32(wait / time.Millisecond)}
+	r.fmu.Unlock()
+	ans, err := a.ask(ctx, to, q)
+	now := r.Clock()
+	r.fmu.Lock()
+	defer r.fmu.Unlock()
+	if err != nil {
+		if ctx.Err() == nil {
+			r.Counts.AskErrors.Add(1)
+			r.Log.Info("instance did not answer", "instance", to, "err", err)
+			r.members.Failed(now, to)
+		}
+		return
+	}
+	r.Counts.Asks.Add(1)
+	r.members.Heard(now, ans.Members)
+	r.members.Answered(now, to)
+	was := r.book.Confirmed()
+	news, current := r.book.Learn(now, r.Name, ans)
+	if current.After(r.peerAt) {
+		r.peerAt = current
+	}
+	if len(news) > 0 {
+		r.put(news)
+	} else if r.book.Confirmed().After(was) {
+		r.wake()
+	}
+}
--- a/pkg/relay/reader.go
+++ b/pkg/relay/reader.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"ebonypaddle/pkg/feed"
 	"ebonypaddle/pkg/steer"
 	"ebonypaddle/pkg/store"
 )
@@ -12,117 +13,202 @@
 const (
 	// watchWait is how long one watch waits. A connection can be silent for
 	// good, so it is well below the time in which a change must be in force.
-	watchWait = 1500 * time.Millisecond
+	watchWait = 1200 * time.Millisecond
 	// gather is the pause between two watches, in which several changes of one
 	// cause come together and cost one call.
 	gather = 250 * time.Millisecond
 	// retryMin and retryMax bound the wait after a failed call.
 	retryMin = 200 * time.Millisecond
 	retryMax = time.Second
+	// dutyEvery is the interval at which an instance decides whether it reads
+	// the store.
+	dutyEvery = 50 * time.Millisecond
 )
 
-// Batch holds facts of one kind.
-type Batch[T any] struct {
-	Changes []steer.Change[T]
-	// Rev is the store's revision to go on from.
-	Rev uint64
-	// Full tells that Changes are all facts that exist.
-	Full bool
-	// Bad are objects that cannot be used.
-	Bad []error
-}
-
-// Source reads the facts of one kind from the store.
-type Source[T any] interface {
-	Kind() string
-	List(ctx context.Context) (Batch[T], error)
+// Store reads facts from the platform's store.
+type Store interface {
+	List(ctx context.Context, k feed.Kind) (feed.Delta, error)
 	// Watch waits for changes after a revision. A *store.GoneError tells that
 	// the store no longer has them.
-	Watch(ctx context.Context, since uint64, wait time.Duration) (Batch[T], error)
+	Watch(ctx context.Context, k feed.Kind, since uint64, wait time.Duration) (feed.Delta, error)
+}
+
+// Decoder reads the content of facts. Facts that cannot be used are left out,
+// or turned into removals, and reported as errors.
+type Decoder interface {
+	Servers(facts []feed.Fact) ([]steer.Change[steer.Server], []error)
+	Settings(facts []feed.Fact) ([]steer.Settings, []error)
+	Domains(facts []feed.Fact) ([]steer.Change[steer.Out], []error)
 }
 
-// follow applies the facts of a source until ctx ends.
-func follow[T any](ctx context.Context, r *Relay, src Source[T], apply func(Batch[T])) {
-	var rev uint64
-	wait := time.Duration(0)
-	var lostAt time.Time
+// duty opens and closes the gate of the readers.
+func (r *Relay) duty(ctx context.Context) {
 	for ctx.Err() == nil {
-		b, err := next(ctx, src, rev)
-		var gone *store.GoneError
-		switch {
-		case errors.As(err, &gone):
-			r.Log.Info("history of the store is gone, reading everything", "kind", src.Kind(), "rev", rev)
-			rev = 0
-			continue
-		case err != nil:
-			if ctx.Err() != nil {
-				return
-			}
-			if lostAt.IsZero() {
-				lostAt = r.Clock()
-				r.Log.Warn("store lost", "kind", src.Kind(), "rev", rev, "err", err)
+		now := r.Clock()
+		r.fmu.Lock()
+		reads := r.Duty.Reads(now, r.peerAt, r.level)
+		if reads != r.reading {
+			r.reading = reads
+			r.Log.Info("reading of the store changed", "reads", reads, "level", r.level, "age", since(now, r.book.Confirmed()))
+			r.wake()
+		}
+		r.fmu.Unlock()
+		sleep(ctx, dutyEvery)
+	}
+}
+
+// since is the time from t to now, or 0 for no time.
+func since(now, t time.Time) time.Duration {
+	if t.IsZero() {
+		return 0
+	}
+	return now.Sub(t)
+}
+
+// wake tells all who wait for news. The caller holds fmu.
+func (r *Relay) wake() {
+	close(r.news)
+	r.news = make(chan struct{})
+}
+
+// read reads one kind of facts from the store while this instance has the duty.
+func (r *Relay) read(ctx context.Context, k feed.Kind) {
+	l := link{r: r, kind: k}
+	for ctx.Err() == nil {
+		r.fmu.Lock()
+		reads, news, rev := r.reading, r.news, r.book.Revs()[k]
+		r.fmu.Unlock()
+		if !reads {
+			select {
+			case <-ctx.Done():
+			case <-news:
 			}
-			wait = min(max(2*wait, retryMin), retryMax)
-			sleep(ctx, wait)
 			continue
 		}
-		if !lostAt.IsZero() {
-			r.Log.Info("store regained", "kind", src.Kind(), "rev", b.Rev, "after", r.Clock().Sub(lostAt))
-			lostAt = time.Time{}
+		at := r.Clock()
+		d, err := r.next(ctx, k, rev, l.list)
+		if ctx.Err() != nil {
+			return
 		}
-		wait = 0
-		for _, bad := range b.Bad {
-			r.Log.Warn("entry of the store ignored", "kind", src.Kind(), "err", bad)
+		if err != nil {
+			l.lost(ctx, rev, err)
+			continue
 		}
-		// A watch without changes does not move the revision: one that the
-		// store kept from hearing would skip what it missed.
-		if b.Full || len(b.Changes) > 0 {
-			rev = max(rev, b.Rev)
+		l.regained(d.Rev)
+		if !d.Full && len(d.Facts) == 0 {
+			// A watch without changes does not move the revision: one that
+			// the store kept from hearing would skip what it missed.
+			d.Rev = rev
 		}
-		if b.Full || len(b.Changes) > 0 {
-			apply(b)
+		if !d.Full {
+			at = r.Clock() // a watch ends with what is current at its end
 		}
-		if !b.Full && len(b.Changes) > 0 {
+		r.take(at, d)
+		if len(d.Facts) > 0 && !d.Full {
 			sleep(ctx, gather)
 		}
 	}
 }
 
-func next[T any](ctx context.Context, src Source[T], rev uint64) (Batch[T], error) {
-	if rev == 0 {
-		return src.List(ctx)
+func (r *Relay) next(ctx context.Context, k feed.Kind, rev uint64, list bool) (feed.Delta, error) {
+	if rev == 0 || list {
+		return r.Store.List(ctx, k)
 	}
-	return src.Watch(ctx, rev, watchWait)
+	return r.Store.Watch(ctx, k, rev, watchWait)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+// link is the state of the calls for one kind.
+type link struct {
+	r      *Relay
+	kind   feed.Kind
+	list   bool // the next call reads everything
+	lostAt time.Time
+	wait   time.Duration
+}
+
+// lost takes a failed call.
+func (l *link) lost(ctx context.Context, rev uint64, err error) {
+	var gone *store.GoneError
+	if errors.As(err, &gone) {
+		l.r.Log.Info("history of the store is gone, reading everything", "kind", l.kind, "rev", rev)
+		l.list = true
+		return
+	}
+	if l.lostAt.IsZero() {
+		l.lostAt = l.r.Clock()
+		l.r.Log.Warn("store lost", "kind", l.kind, "rev", rev, "err", err)
 	}
+	l.wait = min(max(2*l.wait, retryMin), retryMax)
+	sleep(ctx, l.wait)
 }
 
-func (r *Relay) applyServers(b Batch[steer.Server]) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.Steer.ApplyServers(r.Clock(), b.Changes, b.Full)
-	r.Steer.Listed()
+func (l *link) regained(rev uint64) {
+	if !l.lostAt.IsZero() {
+		l.r.Log.Info("store regained", "kind", l.kind, "rev", rev, "after", l.r.Clock().Sub(l.lostAt))
+	}
+	l.lostAt, l.wait, l.list = time.Time{}, 0, false
 }
 
-func (r *Relay) applySettings(b Batch[steer.Settings]) {
+// take takes over facts of the store that were current at the time at.
+func (r *Relay) take(at time.Time, d feed.Delta) {
+	r.fmu.Lock()
+	defer r.fmu.Unlock()
+	news, ok := r.book.Take(at, d)
+	if !ok {
+		r.Log.Warn("facts of the store do not fit", "kind", d.Kind, "since", d.Since, "rev", d.Rev)
+		return
+	}
+	r.book.SetOrigin(r.Name)
+	r.put([]feed.Delta{news})
+}
+
+// put applies new facts and passes them on. The caller holds fmu.
+func (r *Relay) put(news []feed.Delta) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	for i := range b.Changes {
-		if c := &b.Changes[i]; !c.Deleted {
-			r.Steer.ApplySettings(r.Clock(), &c.Value)
+	for _, d := range news {
+		r.apply(d)
+	}
+	if r.book.Complete() {
+		r.Steer.Listed()
+	}
+	r.mu.Unlock()
+	r.book.Trim()
+	r.wake()
+}
+
+// apply puts new facts in force. The caller holds mu.
+func (r *Relay) apply(d feed.Delta) {
+	if len(d.Facts) == 0 && !d.Full {
+		return
+	}
+	now := r.Clock()
+	var errs []error
+	switch d.Kind {
+	case feed.Servers:
+		var cs []steer.Change[steer.Server]
+		cs, errs = r.Decoder.Servers(d.Facts)
+		r.Steer.ApplyServers(now, cs, d.Full)
+	case feed.Settings:
+		var all []steer.Settings
+		all, errs = r.Decoder.Settings(d.Facts)
+		for i := range all {
+			r.Steer.ApplySettings(now, &all[i])
 		}
+	case feed.Domains:
+		var cs []steer.Change[steer.Out]
+		cs, errs = r.Decoder.Domains(d.Facts)
+		r.Steer.ApplyDomains(now, cs, d.Full)
+	}
+	for _, err := range errs {
+		r.Log.Warn("entry of the store not used", "kind", d.Kind, "rev", d.Rev, "err", err)
 	}
 }
 
-func (r *Relay) applyDomains(b Batch[steer.Out]) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.Steer.ApplyDomains(r.Clock(), b.Changes, b.Full)
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -15,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"ebonypaddle/pkg/feed"
 	"ebonypaddle/pkg/steer"
 	"ebonypaddle/pkg/wire"
 )
@@ -48,11 +50,20 @@
 
 // Relay runs one instance. The exported fields are set before Run.
 type Relay struct {
-	Data, Ready netip.AddrPort
-	Codec       Codec
-	Servers     Source[steer.Server]
-	Settings    Source[steer.Settings]
-	Domains     Source[steer.Out]
+	// Name is the name of this instance, Weight its strength among others.
+	Name   string
+	Weight uint32
+	// Data takes callers' packets, Ready tells routers whether the instance
+	// serves, Control takes calls of other instances, some of which are at
+	// Seeds.
+	Data, Ready, Control netip.AddrPort
+	Seeds                []netip.AddrPort
+	Codec                Codec
+	Store                Store
+	Decoder              Decoder
+	Duty                 feed.Duty
+	// Seed makes random choices that need no secrecy.
+	Seed uint64
 	// MaxPacket is the largest packet in bytes.
 	MaxPacket int
 	// Clock is the steady clock.
@@ -69,6 +80,15 @@
 	conn    *net.UDPConn
 	leaving atomic.Bool
 	lastAt  atomic.Int64 // time of the latest packet in nanoseconds
+
+	// fmu guards the exchange of facts. It is taken before mu.
+	fmu     sync.Mutex
+	book    feed.Book
+	members feed.Members
+	level   int           // in the tree of instances
+	reading bool          // this instance reads the store
+	peerAt  time.Time     // facts were last confirmed by another instance
+	news    chan struct{} // closed when facts or duties change
 }
 
 // Counts count what the shell does.
@@ -76,6 +96,8 @@
 	// In and Out are packets received and sent, SendErrors those that the
 	// system did not take, Malformed those that do not decode.
 	In, Out, SendErrors, Malformed atomic.Uint64
+	// Asks are calls to other instances that were answered, AskErrors others.
+	Asks, AskErrors atomic.Uint64
 }
 
 // Run serves until ctx ends and then forwards until the routers have moved the
@@ -94,28 +116,48 @@
 		_ = conn.Close()
 		return err
 	}
+	peers, err := r.servePeers()
+	if err != nil {
+		_ = conn.Close()
+		_ = ready.Close()
+		return err
+	}
+	r.startFeed()
 	r.Log.Info("started", "data", r.Data, "ready", r.Ready)
 	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
 	wg.Go(r.forward)
 	wg.Go(func() { r.tick(run) })
 	wg.Go(func() { r.probe(run) })
-	wg.Go(func() { follow(run, r, r.Servers, r.applyServers) })
-	wg.Go(func() { follow(run, r, r.Settings, r.applySettings) })
-	wg.Go(func() { follow(run, r, r.Domains, r.applyDomains) })
+	wg.Go(func() { r.duty(run) })
+	wg.Go(func() { r.ask(run) })
+	for k := range feed.Kinds {
+		wg.Go(func() { r.read(run, k) })
+	}
 	<-ctx.Done()
 	r.leave()
 	cancel()
 	_ = conn.Close()
-	err = ready.Close()
+	err = errors.Join(ready.Close(), peers.Close())
 	wg.Wait()
 	r.Log.Info("stopped", "in", r.Counts.In.Load(), "out", r.Counts.Out.Load())
 	return err
 }
 
+func (r *Relay) startFeed() {
+	r.news = make(chan struct{})
+	r.members = feed.Members{
+		Self: feed.Member{Addr: r.Control, Domain: r.Steer.Domain, Weight: r.Weight},
+		Rand: rand.New(rand.NewPCG(r.Seed, 1)),
+	}
+}
+
 // leave forwards packets until no more come.
 func (r *Relay) leave() {
 	r.leaving.Store(true)
+	r.fmu.Lock()
+	r.wake()
+	r.fmu.Unlock()
 	began := r.Clock()
 	r.Log.Info("stopping", "within", r.Times.Leave)
 	for {
@@ -202,13 +244,18 @@
 	for pattern, h := range r.Routes {
 		mux.Handle(pattern, h)
 	}
-	srv := &http.Server{Handler: mux, ReadHeaderTimeout: readyTimeout, IdleTimeout: readyIdle}
+	return r.serve(l, mux), nil
+}
+
+// serve answers HTTP until the server is closed.
+func (r *Relay) serve(l net.Listener, h http.Handler) *http.Server {
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: readyTimeout, IdleTimeout: readyIdle}
 	go func() {
 		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			r.Log.Error("ready address failed", "err", err)
+			r.Log.Error("server failed", "addr", l.Addr(), "err", err)
 		}
 	}()
-	return srv, nil
+	return srv
 }
 
 // Routers ask twice a second; a connection that is silent for longer is dead.
--- a/pkg/steer/flow.go
+++ b/pkg/steer/flow.go
@@ -68,7 +68,7 @@
 	if f == nil {
 		if len(t.rows) >= t.max {
 			for old, g := range t.rows {
-					g.end()
+				g.end()
 				delete(t.rows, old)
 				break
 			}
