logs, stats, steer: lines within a budget, counters and latency histograms

Cause: a failed request could not be followed afterwards. Change: one line for each decision within a budget per message, written in the background without blocking; counters, tables and histograms at /debug/vars of the metrics address.

--- /dev/null
+++ b/pkg/logs/async.go
@@ -0,0 +1,87 @@
+package logs
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// asyncBuffer bounds in bytes what waits for a slow reader.
+	asyncBuffer = 256 << 10
+	// flushEvery gathers lines into one write.
+	flushEvery = 100 * time.Millisecond
+)
+
+// Async writes in the background and never blocks its callers: what a slow
+// reader does not take in time is dropped and counted.
+type Async struct {
+	Out io.Writer
+	// Dropped counts lines that did not fit, Failed writes that failed.
+	Dropped, Failed atomic.Uint64
+
+	mu   sync.Mutex
+	buf  []byte
+	wake chan struct{}
+	done chan struct{}
+}
+
+// Start begins to write. Close ends it.
+func (a *Async) Start() *Async {
+	a.wake, a.done = make(chan struct{}, 1), make(chan struct{})
+	go a.run()
+	return a
+}
+
+// Write takes one line. It never fails.
+func (a *Async) Write(b []byte) (int, error) {
+	a.mu.Lock()
+	fits := len(a.buf)+len(b) <= asyncBuffer
+	if fits {
+		a.buf = append(a.buf, b...)
+	}
+	a.mu.Unlock()
+	if !fits {
+		a.Dropped.Add(1)
+		return len(b), nil
+	}
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+	return len(b), nil
+}
+
+func (a *Async) run() {
+	defer close(a.done)
+	var out []byte
+	for range a.wake {
+		out = a.flush(out)
+		time.Sleep(flushEvery)
+	}
+	a.flush(out)
+}
+
+// flush writes what waits, and returns its buffer for the next time.
+func (a *Async) flush(out []byte) []byte {
+	a.mu.Lock()
+	out, a.buf = a.buf, out[:0]
+	a.mu.Unlock()
+	if len(out) == 0 {
+		return out
+	}
+	if _, err := a.Out.Write(out); err != nil {
+		a.Failed.Add(1)
+	}
+	return out
+}
+
+// Close writes what waits, for at most wait. No Write may follow.
+func (a *Async) Close(wait time.Duration) {
+	close(a.wake)
+	select {
+	case <-a.done:
+	case <-time.After(wait):
+	}
+}
--- a/pkg/relay/peer.go
+++ b/pkg/relay/peer.go
@@ -71,6 +71,7 @@
 	defer cancel()
 	r.fmu.Lock()
 	defer r.fmu.Unlock()
+	r.Counts.Answers.Add(1)
 	r.members.Heard(r.Clock(), q.Members)
 	confirmed := r.book.Confirmed()
 	for {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -73,8 +73,10 @@
 	Log   *slog.Logger
 	// Counts are the counters of the shell.
 	Counts Counts
-	// Routes are further handlers on the Ready address, by pattern.
-	Routes map[string]http.Handler
+	// Metrics is the address of Vars, and Debug serves them there. Without
+	// Debug there is no such address.
+	Metrics netip.AddrPort
+	Debug   http.Handler
 
 	mu      sync.Mutex
 	conn    *net.UDPConn
@@ -98,6 +100,8 @@
 	In, Out, SendErrors, Malformed atomic.Uint64
 	// Asks are calls to other instances that were answered, AskErrors others.
 	Asks, AskErrors atomic.Uint64
+	// Answers are calls of other instances.
+	Answers atomic.Uint64
 }
 
 // Run serves until ctx ends and then forwards until the routers have moved the
@@ -122,6 +126,11 @@
 		_ = ready.Close()
 		return err
 	}
+	metrics, err := r.serveMetrics()
+	if err != nil {
+		_ = conn.Close()
+		return errors.Join(err, ready.Close(), peers.Close())
+	}
 	r.startFeed()
 	r.Log.Info("started", "data", r.Data, "ready", r.Ready)
 	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -138,7 +147,7 @@
 	r.leave()
 	cancel()
 	_ = conn.Close()
-	err = errors.Join(ready.Close(), peers.Close())
+	err = errors.Join(ready.Close(), peers.Close(), metrics.Close())
 	wg.Wait()
 	r.Log.Info("stopped", "in", r.Counts.In.Load(), "out", r.Counts.Out.Load())
 	return err
@@ -241,12 +250,21 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+readyPath, r.ready)
-	for pattern, h := range r.Routes {
-		mux.Handle(pattern, h)
-	}
 	return r.serve(l, mux), nil
 }
 
+// serveMetrics serves the counters.
+func (r *Relay) serveMetrics() (*http.Server, error) {
+	if r.Debug == nil {
+		return &http.Server{ReadHeaderTimeout: readyTimeout}, nil
+	}
+	l, err := net.Listen("tcp4", r.Metrics.String())
+	if err != nil {
+		return nil, fmt.Errorf("metrics address: %w", err)
+	}
+	return r.serve(l, r.Debug), nil
+}
+
 // serve answers HTTP until the server is closed.
 func (r *Relay) serve(l net.Listener, h http.Handler) *http.Server {
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: readyTimeout, IdleTimeout: readyIdle}
--- /dev/null
+++ b/pkg/relay/vars.go
@@ -0,0 +1,22 @@
+package relay
+
+// Vars returns the counters of this instance by name, for the metrics address.
+func (r *Relay) Vars() any {
+	r.mu.Lock()
+	steer := r.Steer.Vars()
+	r.mu.Unlock()
+	r.fmu.Lock()
+	defer r.fmu.Unlock()
+	c := &r.Counts
+	return map[string]any{
+		"steer": steer,
+		"packets": map[string]uint64{
+			"in": c.In.Load(), "out": c.Out.Load(), "sendErrors": c.SendErrors.Load(), "malformed": c.Malformed.Load(),
+		},
+		"facts": map[string]any{
+			"revs": r.book.Revs(), "ageMs": since(r.Clock(), r.book.Confirmed()).Milliseconds(), "origin": r.book.Origin(),
+			"level": r.level, "reads": r.reading, "asks": c.Asks.Load(), "askErrors": c.AskErrors.Load(), "answers": c.Answers.Load(),
+		},
+		"leaving": r.leaving.Load(),
+	}
+}
--- a/pkg/steer/flow.go
+++ b/pkg/steer/flow.go
@@ -120,6 +120,7 @@
 	if !f.open {
 		f.open = true
 		f.acked = p.Acked
+		s.OpenTime.Record(now.Sub(f.openedAt))
 		s.answered(now, r)
 		r.load.opened()
 	}
@@ -127,7 +128,10 @@
 		f.acked = p.Acked
 		f.repeats = 0
 		s.answered(now, r)
-		r.load.answered(now, f)
+		if !f.askedAt.IsZero() {
+			s.AnswerTime.Record(now.Sub(f.askedAt))
+			r.load.answered(now, f)
+		}
 	}
 	if p.Size > 0 {
 		s.data(now, p, f)
--- a/pkg/steer/load.go
+++ b/pkg/steer/load.go
@@ -24,11 +24,8 @@
 	l.flows++
 }
 
-// answered takes the end of a request.
+// answered takes the end of a request in progress.
 func (l *load) answered(now time.Time, f *flow) {
-	if f.askedAt.IsZero() {
-		return
-	}
 	l.End()
 	l.Learn(now, now.Sub(f.askedAt))
 	f.askedAt = time.Time{}
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -49,6 +49,9 @@
 	// Opened counts openings that were placed, Copied those of them that were
 	// placed again, Crossed those placed in another failure domain.
 	Opened, Copied, Crossed uint64
+	// OpenTime is the time from an opening to the caller's next packet,
+	// AnswerTime that from a request to its answer.
+	OpenTime, AnswerTime stats.Latency
 
 	rnd      *rand.Rand
 	settings *Settings
@@ -145,6 +148,7 @@
 	if r.Domain != s.Domain {
 		s.Crossed++
 	}
+	s.Log.Info("flow placed", "flow", p, "server", r.name, "domain", r.Domain, "copy", p.Copy, "inFlight", r.load.InFlight, "latency", r.load.Latency, "version", s.settings.Version, "rev", r.Rev)
 	s.flows.put(now, p, r)
 	s.pending = append(s.pending, pending{keyOf(p), now})
 	return forward(r)
