--- a/pkg/feed/book_test.go
+++ b/pkg/feed/book_test.go
@@ -131,3 +131,26 @@
 	_, err := Unpack(nil)
 	assert.Assert(t, err != nil)
 }
+
+// Guards against an instance that asks just after a confirmation was passed on
+// and hears of it only with the next one: it then read the store itself.
+func TestNews(t *testing.T) {
+	var b Book
+	for k := range Kinds {
+		b.Take(begin, Delta{Kind: k, Rev: 7, Full: true})
+	}
+	for _, tc := range []struct {
+		name string
+		q    Question
+		want bool
+	}{
+		{"has all", Question{Have: b.Revs(), Age: 10}, false},
+		{"missed a confirmation", Question{Have: b.Revs(), Age: 1200}, true},
+		{"lacks facts", Question{Have: [Kinds]uint64{7, 6, 7}}, true},
+		{"has nothing", Question{Age: 1 << 31}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			assert.Equal(t, b.News(begin.Add(5*time.Millisecond), &tc.q), tc.want)
+		})
+	}
+}
--- a/pkg/feed/fresh.go
+++ b/pkg/feed/fresh.go
@@ -3,9 +3,12 @@
 import "time"
 
 const (
-	// staleAfter is the age of the facts at which an instance reads the store
-	// itself. The reader confirms them about every 1.2 s.
-	staleAfter = 1900 * time.Millisecond
+	// confirmPart is the part of the time in which a change must be in force
+	// that a reader waits for one, and stalePart that at which facts without
+	// confirmation are stale: half a period longer, and early enough to read
+	// the store before the time is over.
+	confirmPart = 0.4
+	stalePart   = 0.65
 	// staleStep is added for each level of the tree, up to maxSteps, so that
 	// those below wait for what those above them read.
 	staleStep = 150 * time.Millisecond
@@ -23,8 +26,19 @@
 	// starts for the first time.
 	Began time.Time
 	First bool
+	// Bound is the time in which an accepted change must be in force.
+	Bound time.Duration
 }
 
+// ConfirmEvery is how long a reader waits for changes before it asks again.
+func (d *Duty) ConfirmEvery() time.Duration {
+	return time.Duration(confirmPart * float64(d.Bound))
+}
+
+// StaleAfter is the age of the facts at which an instance reads the store
+// itself.
+func (d *Duty) StaleAfter() time.Duration { return time.Duration(stalePart * float64(d.Bound)) }
+
 // Reads reports whether the instance at a level of the tree reads the store,
 // when others last confirmed its facts at a time. An instance that starts again
 // reads at once: callers wait for it, and the others may have started with it.
@@ -36,5 +50,5 @@
 		}
 		return !d.First || now.Sub(d.Began) >= wait
 	}
-	return level == 0 || now.Sub(confirmed) >= staleAfter+staleStep*time.Duration(min(level, maxSteps))
+	return level == 0 || now.Sub(confirmed) >= d.StaleAfter()+staleStep*time.Duration(min(level, maxSteps))
 }
--- a/pkg/feed/message.go
+++ b/pkg/feed/message.go
@@ -9,6 +9,8 @@
 	Members []Member
 	// Have are the revisions of the facts that it has.
 	Have [Kinds]uint64
+	// Age in milliseconds is how long ago another instance confirmed them.
+	Age uint32
 	// Wait in milliseconds is how long the answer may wait for news.
 	Wait uint32
 }
@@ -54,6 +56,22 @@
 	return news, at
 }
 
+// worthTelling is by how much a confirmation must be newer than the one that the
+// asking instance has to be told at once.
+const worthTelling = 400 * time.Millisecond
+
+// News reports whether an instance should hear of the facts now: it lacks some,
+// or its confirmation of them is older than the one here.
+func (b *Book) News(now time.Time, q *Question) bool {
+	for k, rev := range b.Revs() {
+		if rev > q.Have[k] {
+			return true
+		}
+	}
+	theirs := now.Add(-time.Duration(q.Age) * time.Millisecond)
+	return b.Confirmed().Sub(theirs) >= worthTelling
+}
+
 // Answer returns what an instance with the revisions have lacks.
 func (b *Book) Answer(now time.Time, have [Kinds]uint64) Answer {
 	a := Answer{Origin: b.origin, Sums: b.Sums()}
--- a/pkg/logs/async.go
+++ b/pkg/logs/async.go
@@ -1,6 +1,7 @@
 package logs
 
 import (
+	"bytes"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -10,6 +11,9 @@
 const (
 	// asyncBuffer bounds in bytes what waits for a slow reader.
 	asyncBuffer = 256 << 10
+	// maxWrite is the size in bytes up to which a write to a pipe is not
+	// split on Linux.
+	maxWrite = 4096
 	// flushEvery gathers lines into one write.
 	flushEvery = 100 * time.Millisecond
 )
@@ -68,11 +72,18 @@
 	a.mu.Lock()
 	out, a.buf = a.buf, out[:0]
 	a.mu.Unlock()
-	if len(out) == 0 {
-		return out
-	}
-	if _, err := a.Out.Write(out); err != nil {
-		a.Failed.Add(1)
+	for rest := out; len(rest) > 0; {
+		n := len(rest)
+		if n > maxWrite {
+			// Whole lines, unless one line is longer.
+			if n = bytes.LastIndexByte(rest[:maxWrite], '\n') + 1; n == 0 {
+				n = maxWrite
+			}
+		}
+		if _, err := a.Out.Write(rest[:n]); err != nil {
+			a.Failed.Add(1)
+		}
+		rest = rest[n:]
 	}
 	return out
 }
--- a/pkg/relay/peer.go
+++ b/pkg/relay/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -19,9 +20,9 @@
 const (
 	// askPath is the path of the call by which instances exchange facts.
 	askPath = "/ebonypaddle.relay.v1.Relay/Ask"
-	// askWait is how long an answer waits for news. The reader confirms its
-	// facts more often.
-	askWait = 1500 * time.Millisecond
+	// askSpare is how much longer an answer waits for news than a reader for
+	// changes.
+	askSpare = 300 * time.Millisecond
 	// askSlack is the time for a call beyond its wait, and dialTime the time
 	// for a connection. They are many times the longest way.
 	askSlack = 500 * time.Millisecond
@@ -33,8 +34,6 @@
 	// new ones hear of it, and searchEvery that of a search for facts.
 	meetEvery   = 2 * time.Second
 	searchEvery = 300 * time.Millisecond
-	// staleAge is the age of the facts at which the reader searches.
-	staleAge = 2 * time.Second
 	// settleTime is the longest wait for the store after a restart before
 	// others are asked. The store answers in milliseconds.
 	settleTime = 300 * time.Millisecond
@@ -73,14 +72,14 @@
 	defer r.fmu.Unlock()
 	r.Counts.Answers.Add(1)
 	r.members.Heard(r.Clock(), q.Members)
-	confirmed := r.book.Confirmed()
+	asked := r.Clock()
 	for {
 		if r.leaving.Load() {
 			return feed.Answer{}, connect.NewError(connect.CodeUnavailable, errLeaving)
 		}
 		now := r.Clock()
-		a := r.book.Answer(now, q.Have)
-		if len(a.Deltas) > 0 || r.book.Confirmed().After(confirmed) || ctx.Err() != nil {
+		if r.book.News(asked, &q) || ctx.Err() != nil {
+			a := r.book.Answer(now, q.Have)
 			a.Members = r.members.Tell(now)
 			return a, nil
 		}
@@ -170,14 +169,14 @@
 		r.fmu.Lock()
 		parent, level := r.members.Parent(now)
 		r.level = level
-		age := since(now, r.book.Confirmed())
+		confirmed := r.book.Confirmed()
 		r.fmu.Unlock()
 		if parent != last || first {
 			r.Log.Info("source of facts changed", "parent", parent, "level", level)
 			last, first = parent, false
 		}
 		if level > 0 {
-			r.exchange(ctx, a, parent, askWait)
+			r.exchange(ctx, a, parent, r.Duty.ConfirmEvery()+askSpare)
 			sleep(ctx, askPause)
 			continue
 		}
@@ -189,7 +188,7 @@
 		} else {
 			r.meet(ctx, a)
 		}
-		if age > staleAge {
+		if confirmed.IsZero() || now.Sub(confirmed) > r.Duty.StaleAfter() {
 			sleep(ctx, searchEvery)
 		} else {
 			sleep(ctx, meetEvery)
@@ -197,13 +196,22 @@
 	}
 }
 
+// millis is the time since t in milliseconds, or the most that fits for no time.
+func millis(now, t time.Time) uint32 {
+	if t.IsZero() {
+		return math.MaxUint32
+	}
+	return uint32(max(now.Sub(t), 0) / time.Millisecond)
+}
+
 // exchange asks one instance and takes over what it answers.
 func (r *Relay) exchange(ctx context.Context, a *asker, to netip.AddrPort, wait time.Duration) {
+	now := r.Clock()
 	r.fmu.Lock()
-	q := feed.Question{Members: r.members.Tell(r.Clock()), Have: r.book.Revs(), Wait: uint32(wait / time.Millisecond)}
+	q := feed.Question{Members: r.members.Tell(now), Have: r.book.Revs(), Age: millis(now, r.peerAt), Wait: uint32(wait / time.Millisecond)}
 	r.fmu.Unlock()
 	ans, err := a.ask(ctx, to, q)
-	now := r.Clock()
+	now = r.Clock()
 	r.fmu.Lock()
 	defer r.fmu.Unlock()
 	if err != nil {
--- a/pkg/relay/reader.go
+++ b/pkg/relay/reader.go
@@ -11,9 +11,6 @@
 )
 
 const (
-	// watchWait is how long one watch waits. A connection can be silent for
-	// good, so it is well below the time in which a change must be in force.
-	watchWait = 1200 * time.Millisecond
 	// gather is the pause between two watches, in which several changes of one
 	// cause come together and cost one call.
 	gather = 250 * time.Millisecond
@@ -114,7 +111,7 @@
 	if rev == 0 || list {
 		return r.Store.List(ctx, k)
 	}
-	return r.Store.Watch(ctx, k, rev, watchWait)
+	return r.Store.Watch(ctx, k, rev, r.Duty.ConfirmEvery())
 }
 
 // link is the state of the calls for one kind.
