--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -80,6 +80,7 @@
 
 	mu      sync.Mutex
 	conn    *net.UDPConn
+	packet  steer.Packet // the one being handled
 	leaving atomic.Bool
 	lastAt  atomic.Int64 // time of the latest packet in nanoseconds
 
@@ -196,8 +197,8 @@
 }
 
 func (r *Relay) handle(raw, out []byte) []byte {
-	var p steer.Packet
-	if err := r.Codec.Decode(raw, &p); err != nil {
+	p := &r.packet
+	if err := r.Codec.Decode(raw, p); err != nil {
 		r.Counts.Malformed.Add(1)
 		r.Steer.Stats.Dropped.Add(wire.ReasonMalformed)
 		return out
@@ -205,14 +206,14 @@
 	now := r.Clock()
 	r.lastAt.Store(now.UnixNano())
 	r.mu.Lock()
-	v := r.Steer.Handle(now, &p)
+	v := r.Steer.Handle(now, p)
 	r.mu.Unlock()
 	var to netip.AddrPort
 	switch v.Action {
 	case steer.Forward:
 		out, to = r.Codec.Forward(out, raw, v.To), v.To.Addr
 	case steer.Refuse:
-		out, to = r.Codec.Refuse(out, &p)
+		out, to = r.Codec.Refuse(out, p)
 	default:
 		return out
 	}
--- /dev/null
+++ b/pkg/steer/evidence_test.go
@@ -0,0 +1,175 @@
+package steer
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ebonypaddle/pkg/wire"
+)
+
+// unanswered lets n callers open flows that nobody answers, and returns the
+// time after the last.
+func unanswered(s *Steer, now time.Time, n int) time.Time {
+	for i := range n {
+		call(s, uint16(1000+i), service).open(now, 0)
+		now = now.Add(answerWithin)
+		s.Tick(now)
+	}
+	return now
+}
+
+// Guards against openings that go to a server that answers nobody.
+func TestSuspectGetsNoFlows(t *testing.T) {
+	s := newSteer(record(1, "a"))
+	now := unanswered(s, begin, suspectMisses)
+	s.ApplyServers(now, []Change[Server]{record(2, "a")}, false)
+	now = now.Add(s.Limits.SettleFor)
+	s.missed(now, s.byName["s1"], flowKey{1})
+	s.missed(now, s.byName["s1"], flowKey{2})
+	s.Tick(now)
+	for port := range uint16(20) {
+		assert.Equal(t, call(s, port, service).open(now, 0).To.Server, ServerID(2))
+	}
+}
+
+// Guards against a copy of an opening that goes to the server that did not
+// answer the first one.
+func TestCopyGoesElsewhere(t *testing.T) {
+	for i := range uint16(20) {
+		s := newSteer(record(1, "a"), record(2, "a"))
+		c := call(s, i, service)
+		first := c.open(begin, 0)
+		s.Tick(begin.Add(100 * time.Millisecond))
+		second := c.open(begin.Add(200*time.Millisecond), 1)
+		assert.Assert(t, first.To.Server != second.To.Server)
+	}
+}
+
+// silence opens flows at the only server, lets it answer them, and then lets
+// their callers repeat data that it does not confirm.
+func silence(t *testing.T, s *Steer, n int, to ...func() *caller) ([]*caller, time.Time) {
+	t.Helper()
+	now := begin
+	cs := make([]*caller, n)
+	for i := range cs {
+		cs[i] = to[i%len(to)]()
+		cs[i].p.Caller = call(s, uint16(i), service).p.Caller
+		isForward(t, cs[i].open(now, 0))
+		isForward(t, cs[i].data(now.Add(5*time.Millisecond), 0, 10, 0))
+		isForward(t, cs[i].data(now.Add(20*time.Millisecond), 10, 0, 100))
+	}
+	now = now.Add(100 * time.Millisecond)
+	s.Tick(now)
+	for _, c := range cs {
+		c.data(now, 10, 10, 100)
+	}
+	for range 2 {
+		s.Tick(now.Add(100 * time.Millisecond))
+		now = now.Add(200 * time.Millisecond)
+		s.Tick(now)
+		for _, c := range cs {
+			c.data(now, 10, 10, 100)
+		}
+	}
+	return cs, now
+}
+
+// Guards against callers that wait for their deadline at a dead server although
+// they may begin anew, and against the reset of a flow whose request may run
+// once only: its answer may still be on its way.
+func TestSilentServer(t *testing.T) {
+	s := newSteer(record(1, "a"))
+	many := func() *caller { return call(s, 0, service) }
+	single := func() *caller { return call(s, 0, once) }
+	cs, now := silence(t, s, 4, many, single)
+	isRefused(t, cs[0].data(now, 20, 10, 100), wire.ReasonTimeout)
+	isForward(t, cs[1].data(now, 20, 10, 100))
+}
+
+// Guards against the reset of open flows at a server that is full: it ignores
+// openings, but goes on with its flows.
+func TestFullServerKeepsItsFlows(t *testing.T) {
+	s := newSteer(record(1, "a"))
+	c := call(s, 1, service)
+	isForward(t, c.open(begin, 0))
+	isForward(t, c.data(begin.Add(5*time.Millisecond), 0, 10, 0))
+	now := unanswered(s, begin.Add(10*time.Millisecond), 20)
+	isForward(t, c.data(now, 10, 10, 0))
+}
+
+// Guards against the reset of living flows by an instance that was frozen: the
+// copies in its socket are old.
+func TestPauseClearsEvidence(t *testing.T) {
+	s := newSteer(record(1, "a"))
+	cs := []*caller{call(s, 1, service), call(s, 2, service), call(s, 3, service)}
+	for _, c := range cs {
+		isForward(t, c.open(begin, 0))
+		isForward(t, c.data(begin, 0, 10, 0))
+	}
+	now := begin.Add(3 * time.Second)
+	for i := range 6 {
+		for _, c := range cs {
+			isForward(t, c.data(now.Add(time.Duration(i)*time.Millisecond), 0, 10, 0))
+		}
+	}
+	assert.Assert(t, !s.byName["s1"].evidence.suspect(now))
+}
+
+// Guards against instances that stay in rotation although they reach no server
+// that may take their callers' flows, and against ones that do not return.
+func TestIsolated(t *testing.T) {
+	s := newSteer(record(1, "a"), record(2, "b"), record(3, "b"), record(4, "c"))
+	s.ApplyDomains(begin, []Change[Out]{{Name: "a"}}, false)
+	assert.Assert(t, !s.Isolated())
+	now := unanswered(s, begin, 30)
+	assert.Assert(t, s.Isolated())
+	ps := s.Probes(nil)
+	assert.Equal(t, len(ps), 2)
+	s.Reached(now, ps[0].Domain)
+	assert.Assert(t, !s.Isolated())
+	assert.Equal(t, len(s.Probes(nil)), 1)
+}
+
+// Guards against a living server that is given up because its record lapsed
+// while the store was away, and a dead one that is kept.
+func TestLapsedRecord(t *testing.T) {
+	removal := []Change[Server]{{Name: "s1", Rev: 5, Deleted: true}}
+	for _, tc := range []struct {
+		name      string
+		answering bool
+	}{{"living", true}, {"dead", false}} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newSteer(record(1, "a"))
+			c := call(s, 1, service)
+			isForward(t, c.open(begin, 0))
+			now := begin.Add(10 * time.Millisecond)
+			if tc.answering {
+				isForward(t, c.data(now, 0, 10, 0))
+			}
+			s.ApplyServers(now, removal, false)
+			if !tc.answering {
+				isRefused(t, c.data(now, 0, 10, 0), wire.ReasonServerGone)
+				return
+			}
+			isForward(t, call(s, 2, service).open(now, 0))
+			ran(s, now, now.Add(s.Limits.LapseFor))
+			isForward(t, c.data(now.Add(s.Limits.LapseFor-time.Millisecond), 0, 10, 0))
+			s.Tick(now.Add(s.Limits.LapseFor))
+			isRefused(t, c.data(now.Add(s.Limits.LapseFor), 10, 10, 0), wire.ReasonServerGone)
+		})
+	}
+}
+
+// Guards against flows of a former process at a server that started again
+// under its name: it does not know them.
+func TestRestartedServerIsNew(t *testing.T) {
+	s := newSteer(record(1, "a"))
+	s.missed(begin, s.byName["s1"], flowKey{1})
+	again := record(1, "a")
+	again.Rev, again.Value.Born = 2, begin
+	s.ApplyServers(begin, []Change[Server]{again}, false)
+	assert.Equal(t, s.byName["s1"].evidence.misses, 0)
+	isForward(t, call(s, 1, service).open(begin.Add(2*time.Second), 0))
+}
--- a/pkg/steer/place.go
+++ b/pkg/steer/place.go
@@ -97,18 +97,21 @@
 	return best, low
 }
 
-// trial returns any server that may get new flows, when all are suspect or
-// new: the one whose suspicion ends first.
+// trial returns a server that may get new flows, when all are suspect or new:
+// the one whose suspicion ends first, in a failure domain that answers if there
+// is one.
 func (s *Steer) trial(p *pool) *server {
-	for _, rows := range [][]*server{p.own, p.other} {
-		var best *server
-		for _, r := range rows {
-			if s.usable(r) && (best == nil || r.evidence.until.Before(best.evidence.until)) {
-				best = r
+	for _, cut := range []bool{false, true} {
+		for _, rows := range [][]*server{p.own, p.other} {
+			var best *server
+			for _, r := range rows {
+				if s.usable(r) && s.domain(r.Domain).cut == cut && (best == nil || r.evidence.until.Before(best.evidence.until)) {
+					best = r
+				}
+			}
+			if best != nil {
+				return best
 			}
-		}
-		if best != nil {
-			return best
 		}
 	}
 	return nil
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -150,7 +150,9 @@
 	}
 	s.Log.Info("flow placed", "flow", p, "server", r.name, "domain", r.Domain, "copy", p.Copy, "inFlight", r.load.InFlight, "latency", r.load.Latency, "version", s.settings.Version, "rev", r.Rev)
 	s.flows.put(now, p, r)
-	s.pending = append(s.pending, pending{keyOf(p), now})
+	if len(s.pending) < s.Limits.Flows {
+		s.pending = append(s.pending, pending{keyOf(p), now})
+	}
 	return forward(r)
 }
 
