--- a/Makefile
+++ b/Makefile
@@ -1,15 +1,19 @@
 # Targets for people and CI. Every target works on a machine that has only Go.
 
-MODULES   := pkg ebonyd ebonyctl emul
+MODULES   := pkg ebonyd ebonyctl emul platform
 LINT      := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 LINT_BIN  := $(shell go env GOPATH)/bin/golangci-lint
 
-.PHONY: build test race bench format lint demo demo-split lint-tool
+.PHONY: build test race bench format lint demo demo-split lint-tool target
 
 build:
 	mkdir -p bin
 	go build -o bin/ ./ebonyd/cmd/ebonyd ./ebonyctl/cmd/ebonyctl ./emul/cmd/ebonyemu
 
+# The program of the users' platform, built as deploy/system.toml says.
+target:
+	sh -c "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)"
+
 test:
 	go test $(MODULES:%=./%/...)
 
--- /dev/null
+++ b/pkg/relay/relay_test.go
@@ -0,0 +1,305 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"ebonypaddle/pkg/feed"
+	"ebonypaddle/pkg/steer"
+	"ebonypaddle/pkg/store"
+)
+
+// shelf plays the store. It holds the same facts for all instances.
+type shelf struct {
+	mu      sync.Mutex
+	rev     uint64
+	version uint64
+	news    chan struct{}
+	calls   map[string]int // by instance
+	down    bool
+}
+
+func newShelf() *shelf { return &shelf{rev: 1, news: make(chan struct{}), calls: map[string]int{}} }
+
+// change puts new settings in the store.
+func (s *shelf) change() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	s.version = s.rev
+	close(s.news)
+	s.news = make(chan struct{})
+	return s.version
+}
+
+func (s *shelf) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *shelf) callsOf(name string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[name]
+}
+
+var errDown = errors.New("store is down")
+
+// view is the store as one instance sees it.
+type view struct {
+	s    *shelf
+	name string
+}
+
+func (v view) List(_ context.Context, k feed.Kind) (feed.Delta, error) {
+	v.s.mu.Lock()
+	defer v.s.mu.Unlock()
+	v.s.calls[v.name]++
+	if v.s.down {
+		return feed.Delta{}, &store.UnavailableError{Err: errDown}
+	}
+	return v.s.delta(k, 0), nil
+}
+
+// delta returns the facts of a kind after a revision. The caller holds mu.
+func (s *shelf) delta(k feed.Kind, since uint64) feed.Delta {
+	d := feed.Delta{Kind: k, Since: since, Rev: s.rev, Full: since == 0}
+	if k == feed.Settings && s.version > since {
+		spec, err := feed.Pack(fmt.Append(nil, s.version))
+		if err != nil {
+			panic(err)
+		}
+		d.Facts = []feed.Fact{{Name: "main", Rev: s.version, Spec: spec}}
+	}
+	return d
+}
+
+func (v view) Watch(ctx context.Context, k feed.Kind, since uint64, wait time.Duration) (feed.Delta, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	v.s.mu.Lock()
+	v.s.calls[v.name]++
+	for {
+		d, news, down := v.s.delta(k, since), v.s.news, v.s.down
+		v.s.mu.Unlock()
+		switch {
+		case down:
+			return feed.Delta{}, &store.UnavailableError{Err: errDown}
+		case len(d.Facts) > 0 || ctx.Err() != nil:
+			return d, nil
+		}
+		select {
+		case <-ctx.Done():
+		case <-news:
+		}
+		v.s.mu.Lock()
+	}
+}
+
+// decoder reads settings that consist of their version.
+type decoder struct{}
+
+func (decoder) Servers([]feed.Fact) ([]steer.Change[steer.Server], []error) { return nil, nil }
+func (decoder) Domains([]feed.Fact) ([]steer.Change[steer.Out], []error)    { return nil, nil }
+func (decoder) Settings(facts []feed.Fact) ([]steer.Settings, []error) {
+	var out []steer.Settings
+	for _, f := range facts {
+		var v uint64
+		raw, err := feed.Unpack(f.Spec)
+		if err != nil {
+			return nil, []error{err}
+		}
+		if _, err := fmt.Sscan(string(raw), &v); err != nil {
+			return nil, []error{err}
+		}
+		out = append(out, steer.Settings{Version: v, Rev: f.Rev})
+	}
+	return out, nil
+}
+
+// codec takes every datagram for an opening and sends nothing else.
+type codec struct{}
+
+func (codec) Decode(_ []byte, p *steer.Packet) error {
+	*p = steer.Packet{Open: true, Caller: netip.MustParseAddrPort("127.0.0.1:9"), Service: netip.MustParseAddrPort("127.0.0.1:8")}
+	return nil
+}
+func (codec) Forward(dst, raw []byte, _ steer.Target) []byte { return append(dst, raw...) }
+func (codec) Refuse(dst []byte, p *steer.Packet) ([]byte, netip.AddrPort) {
+	return append(dst, "refused"...), p.Caller
+}
+
+// free returns a loopback address that nobody uses.
+func free(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// instance is one running Relay.
+type instance struct {
+	*Relay
+	stop func()
+}
+
+// start runs an instance until stop or the end of the test. Weight orders the
+// instances: the first reads the store.
+func start(t *testing.T, s *shelf, name string, weight uint32, seeds ...netip.AddrPort) *instance {
+	t.Helper()
+	r := &Relay{
+		Name: name, Weight: weight, Data: free(t), Ready: free(t), Control: free(t), Seeds: seeds, Codec: codec{},
+		Store: view{s, name}, Decoder: decoder{}, MaxPacket: 1500, Clock: time.Now, Log: slog.New(slog.DiscardHandler),
+		Duty:  feed.Duty{Began: time.Now(), Bound: 3 * time.Second},
+		Times: Times{Leave: 2 * time.Second, LeaveAtLeast: 100 * time.Millisecond, Quiet: 50 * time.Millisecond},
+		Steer: &steer.Steer{Domain: "a", Seed: uint64(weight)},
+	}
+	r.Steer.Start(time.Now())
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- r.Run(ctx) }()
+	var once sync.Once
+	i := &instance{r, func() {
+		once.Do(func() {
+			cancel()
+			assert.Check(t, <-done)
+		})
+	}}
+	t.Cleanup(i.stop)
+	return i
+}
+
+func (i *instance) version() uint64 {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	v, _ := i.Steer.Vars()["version"].(uint64)
+	return v
+}
+
+// soon waits until ok. The limit is only there to end a run that fails.
+func soon(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if ok() {
+			return poll.Success()
+		}
+		return poll.Continue("waiting until %s", what)
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
+// Guards against instances that each read the store, and against changes that
+// reach only the one that does.
+func TestOneReadsForAll(t *testing.T) {
+	s := newShelf()
+	v := s.change()
+	first := start(t, s, "first", 9)
+	soon(t, "the first has the settings", func() bool { return first.version() == v })
+	second := start(t, s, "second", 5, first.Control)
+	third := start(t, s, "third", 1, first.Control)
+	all := []*instance{first, second, third}
+	soon(t, "all have the settings", func() bool { return second.version() == v && third.version() == v })
+	soon(t, "others no longer read", func() bool { return !second.reads() && !third.reads() })
+	time.Sleep(2 * second.Duty.ConfirmEvery()) // calls that were in progress end
+	before := [2]int{s.callsOf("second"), s.callsOf("third")}
+	v = s.change()
+	for _, i := range all {
+		soon(t, i.Name+" has the change", func() bool { return i.version() == v })
+	}
+	assert.Equal(t, [2]int{s.callsOf("second"), s.callsOf("third")}, before)
+}
+
+func (i *instance) reads() bool {
+	i.fmu.Lock()
+	defer i.fmu.Unlock()
+	return i.reading
+}
+
+// Guards against instances that go on with old settings because the one that
+// read them ended.
+func TestReaderEnds(t *testing.T) {
+	s := newShelf()
+	v := s.change()
+	first := start(t, s, "first", 9)
+	soon(t, "the first has the settings", func() bool { return first.version() == v })
+	second := start(t, s, "second", 1, first.Control)
+	soon(t, "the second no longer reads", func() bool { return second.version() == v && !second.reads() })
+	first.stop()
+	v = s.change()
+	soon(t, "the second reads itself", func() bool { return second.version() == v })
+}
+
+// Guards against an instance that cannot start while the store is away,
+// although others know everything.
+func TestStartsFromOthersWhileStoreIsAway(t *testing.T) {
+	s := newShelf()
+	v := s.change()
+	first := start(t, s, "first", 9)
+	soon(t, "the first has the settings", func() bool { return first.version() == v })
+	s.setDown(true)
+	second := start(t, s, "second", 1, first.Control)
+	soon(t, "the second has the settings", func() bool { return second.version() == v })
+	assert.Equal(t, status(t, second), http.StatusOK)
+}
+
+func status(t *testing.T, i *instance) int {
+	t.Helper()
+	res, err := http.Get("http://" + i.Ready.String() + readyPath)
+	assert.NilError(t, err)
+	defer res.Body.Close()
+	return res.StatusCode
+}
+
+// Guards against routers that send flows to an instance that stops, and against
+// packets that it drops before they go elsewhere.
+func TestStopForwardsUntilQuiet(t *testing.T) {
+	s := newShelf()
+	v := s.change()
+	i := start(t, s, "only", 1)
+	i.Times.LeaveAtLeast = time.Second
+	soon(t, "it serves", func() bool { return i.version() == v })
+	assert.Equal(t, status(t, i), http.StatusOK)
+	go i.stop()
+	soon(t, "it reports that it stops", func() bool { return i.leaving.Load() })
+	assert.Equal(t, status(t, i), http.StatusServiceUnavailable)
+	c, err := net.Dial("udp4", i.Data.String())
+	assert.NilError(t, err)
+	defer c.Close()
+	_, err = c.Write([]byte("packet"))
+	assert.NilError(t, err)
+	soon(t, "the packet is answered", func() bool { return i.Counts.Out.Load() == 1 })
+}
+
+// Guards against counters that cannot be published as JSON.
+func TestVars(t *testing.T) {
+	i := start(t, newShelf(), "only", 1)
+	b, err := json.Marshal(i.Vars())
+	assert.NilError(t, err)
+	for _, name := range []string{"reasons", "openTimeMs", "ageMs", "malformed"} {
+		assert.Assert(t, jsonHas(b, name), "%s is missing in %s", name, b)
+	}
+}
+
+func jsonHas(b []byte, name string) bool {
+	var all map[string]map[string]any
+	_ = json.Unmarshal(b, &all) // members that are not objects stay empty
+	for _, m := range all {
+		if _, ok := m[name]; ok {
+			return true
+		}
+	}
+	return false
+}
