steer: keep cold servers within their rate

Cause: a service can state the rate that a cold server bears; openings of many instances would exceed it together. Change: four instances, the same in the view of all, open flows at a cold server, each with its part of the rate; an instance that just started opens none; servers of a returned failure domain count as cold.

--- a/pkg/feed/tree.go
+++ b/pkg/feed/tree.go
@@ -97,6 +97,16 @@
 	return out
 }
 
+// Names returns the addresses of all live members, this instance among them, as
+// text.
+func (m *Members) Names(now time.Time) []string {
+	out := []string{m.Self.Addr.String()}
+	for _, r := range m.live(now) {
+		out = append(out, r.Addr.String())
+	}
+	return out
+}
+
 // Any returns some live member.
 func (m *Members) Any(now time.Time) (netip.AddrPort, bool) {
 	rows := m.live(now)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -24,6 +24,8 @@
 const (
 	// tickEvery is the interval of the systems of steer.
 	tickEvery = 100 * time.Millisecond
+	// peersEvery is the interval at which the live instances are told to steer.
+	peersEvery = time.Second
 	// socketBuffer in bytes holds about 2,000 large packets while the process
 	// does not run.
 	socketBuffer = 4 << 20
@@ -229,14 +231,26 @@
 func (r *Relay) tick(ctx context.Context) {
 	t := time.NewTicker(tickEvery)
 	defer t.Stop()
+	var told time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
+		now := r.Clock()
+		var peers []string
+		if now.Sub(told) >= peersEvery {
+			told = now
+			r.fmu.Lock()
+			peers = r.members.Names(now)
+			r.fmu.Unlock()
+		}
 		r.mu.Lock()
-		r.Steer.Tick(r.Clock())
+		if peers != nil {
+			r.Steer.SetPeers(r.Control.String(), peers)
+		}
+		r.Steer.Tick(now)
 		r.mu.Unlock()
 	}
 }
--- a/pkg/steer/place.go
+++ b/pkg/steer/place.go
@@ -64,13 +64,18 @@
 			best = other
 		}
 	}
-	if best == nil && tried != nil && s.usable(tried) {
+	if best == nil && tried != nil && s.usable(tried) && !s.coldFull(now, tried) {
 		best = tried
 	}
 	if best == nil {
-		best = s.trial(p)
+		best = s.trial(now, p)
 	}
-	if best == nil {
+	switch {
+	case best != nil:
+		s.coldTake(now, best)
+	case s.anyCold(now, p):
+		return nil, wire.ReasonColdLimit
+	default:
 		return nil, wire.ReasonNoServer
 	}
 	return best, wire.ReasonNone
@@ -87,7 +92,7 @@
 	var best *server
 	var low time.Duration
 	for _, r := range rows {
-		if r == tried || !s.usable(r) || r.evidence.suspect(now) || s.domain(r.Domain).cut || now.Sub(r.seenAt) < s.Limits.SettleFor {
+		if r == tried || !s.usable(r) || r.evidence.suspect(now) || s.domain(r.Domain).cut || now.Sub(r.seenAt) < s.Limits.SettleFor || s.coldFull(now, r) {
 			continue
 		}
 		if e := s.estimate(now, p, r); best == nil || e < low {
@@ -100,12 +105,12 @@
 // trial returns a server that may get new flows, when all are suspect or new:
 // the one whose suspicion ends first, in a failure domain that answers if there
 // is one.
-func (s *Steer) trial(p *pool) *server {
+func (s *Steer) trial(now time.Time, p *pool) *server {
 	for _, cut := range []bool{false, true} {
 		for _, rows := range [][]*server{p.own, p.other} {
 			var best *server
 			for _, r := range rows {
-				if s.usable(r) && s.domain(r.Domain).cut == cut && (best == nil || r.evidence.until.Before(best.evidence.until)) {
+				if s.usable(r) && !s.coldFull(now, r) && s.domain(r.Domain).cut == cut && (best == nil || r.evidence.until.Before(best.evidence.until)) {
 					best = r
 				}
 			}
--- a/pkg/steer/server.go
+++ b/pkg/steer/server.go
@@ -13,6 +13,10 @@
 	seenAt time.Time
 	// coldUntil is when the slow time after its start ends.
 	coldUntil time.Time
+	// coldNext is when this instance may open the next flow there while it is
+	// cold; warms tells that it may at all.
+	coldNext time.Time
+	warms    bool
 	// lapsedAt is when the record was removed although the server still
 	// answered callers; zero for a server with a record.
 	lapsedAt time.Time
@@ -90,6 +94,7 @@
 		}
 		r.Server = c.Value
 		s.byName[c.Name] = r
+		r.warms = s.warms(r)
 		s.claimToken(r)
 		s.Log.Info("server known", "server", c.Name, "service", r.Service, "domain", r.Domain, "addr", r.Addr, "leaving", r.Leaving, "coldFor", r.ColdFor, "rev", c.Rev)
 	} else if r.Leaving != c.Value.Leaving {
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -66,8 +66,11 @@
 	unknown  map[uint32]time.Time
 	domains  map[string]*domain
 	pending  []pending
+	self     string   // name of this instance
+	peers    []string // names of all live instances
 	listed   bool
 	tickedAt time.Time
+	began    time.Time // start of the process
 	entered  time.Time // latest call
 	trustAt  time.Time // signs of silence count from then on
 }
@@ -90,7 +93,7 @@
 	s.pools = map[string]*pool{}
 	s.unknown = map[uint32]time.Time{}
 	s.domains = map[string]*domain{}
-	s.entered = now
+	s.began, s.entered = now, now
 	s.flows.start(s.Limits.Flows)
 	s.gone.start()
 }
