--- a/pkg/relay/reader.go
+++ b/pkg/relay/reader.go
@@ -14,9 +14,9 @@
 	// gather is the pause between two watches, in which several changes of one
 	// cause come together and cost one call.
 	gather = 250 * time.Millisecond
-	// retryMin and retryMax bound the wait after a failed call.
-	retryMin = 200 * time.Millisecond
-	retryMax = time.Second
+	// retryFirst and retryLongest bound the wait after a failed call.
+	retryFirst   = 200 * time.Millisecond
+	retryLongest = time.Second
 	// dutyEvery is the interval at which an instance decides whether it reads
 	// the store.
 	dutyEvery = 50 * time.Millisecond
@@ -135,7 +135,7 @@
 		l.lostAt = l.r.Clock()
 		l.r.Log.Warn("store lost", "kind", l.kind, "rev", rev, "err", err)
 	}
-	l.wait = min(max(2*l.wait, retryMin), retryMax)
+	l.wait = min(max(2*l.wait, retryFirst), retryLongest)
 	sleep(ctx, l.wait)
 }
 
@@ -189,7 +189,7 @@
 		var all []steer.Settings
 		all, errs = r.Decoder.Settings(d.Facts)
 		for i := range all {
-			r.Steer.ApplySettings(now, &all[i])
+			r.Steer.ApplySettings(&all[i])
 		}
 	case feed.Domains:
 		var cs []steer.Change[steer.Out]
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -147,8 +147,9 @@
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
-	defer l.Close()
-	return netip.MustParseAddrPort(l.Addr().String())
+	a := netip.MustParseAddrPort(l.Addr().String())
+	assert.NilError(t, l.Close())
+	return a
 }
 
 // instance is one running Relay.
@@ -277,9 +278,9 @@
 	assert.Equal(t, status(t, i), http.StatusServiceUnavailable)
 	c, err := net.Dial("udp4", i.Data.String())
 	assert.NilError(t, err)
-	defer c.Close()
 	_, err = c.Write([]byte("packet"))
 	assert.NilError(t, err)
+	assert.NilError(t, c.Close())
 	soon(t, "the packet is answered", func() bool { return i.Counts.Out.Load() == 1 })
 }
 
--- a/pkg/steer/cold_test.go
+++ b/pkg/steer/cold_test.go
@@ -22,7 +22,7 @@
 		s := newSteer(record(1, "a"))
 		set := settings(2, service)
 		set.Services[0].ColdRate = rate
-		s.ApplySettings(begin, set)
+		s.ApplySettings(set)
 		cold := record(1, "a")
 		cold.Rev, cold.Value.ColdFor = 2, time.Minute
 		s.ApplyServers(begin, []Change[Server]{cold}, false)
--- a/pkg/steer/load_test.go
+++ b/pkg/steer/load_test.go
@@ -92,7 +92,7 @@
 		for i := range 2 {
 			s := &Steer{Domain: string(rune('a' + d)), Seed: seed*10 + uint64(i)}
 			s.Start(begin)
-			s.ApplySettings(begin, settings(1, service))
+			s.ApplySettings(settings(1, service))
 			s.ApplyServers(begin, records, true)
 			s.Listed()
 			in = append(in, s)
--- a/pkg/steer/route.go
+++ b/pkg/steer/route.go
@@ -7,7 +7,7 @@
 
 // ApplySettings puts settings in force. Settings that are older than those in
 // force change nothing.
-func (s *Steer) ApplySettings(now time.Time, set *Settings) {
+func (s *Steer) ApplySettings(set *Settings) {
 	if s.settings != nil && (set.Version < s.settings.Version || set.Rev < s.settings.Rev) {
 		s.Log.Warn("settings ignored, they are older than those in force", "version", set.Version, "inForce", s.settings.Version)
 		return
--- a/pkg/steer/server.go
+++ b/pkg/steer/server.go
@@ -106,7 +106,7 @@
 	}
 	r.Server = c.Value
 	r.Rev = c.Rev
-	r.load.Slots = r.Server.Slots
+	r.load.Slots = r.Slots
 	r.coldUntil = now.Add(c.Value.ColdFor)
 }
 
--- a/pkg/steer/steer_test.go
+++ b/pkg/steer/steer_test.go
@@ -37,7 +37,7 @@
 func newSteer(servers ...Change[Server]) *Steer {
 	s := &Steer{Domain: "a", Seed: 1}
 	s.Start(begin)
-	s.ApplySettings(begin, settings(1, service, once))
+	s.ApplySettings(settings(1, service, once))
 	s.ApplyServers(begin, servers, true)
 	s.ApplyDomains(begin, nil, true)
 	s.Listed()
@@ -104,7 +104,7 @@
 	v := c.open(begin, 0)
 	isForward(t, v)
 	c.s = b
-	b.ApplySettings(begin, settings(2, service))
+	b.ApplySettings(settings(2, service))
 	w := c.data(begin.Add(time.Millisecond), 0, 100, 0)
 	isForward(t, w)
 	assert.Equal(t, w.To.Server, v.To.Server)
@@ -183,10 +183,10 @@
 	s := newSteer(record(1, "a"))
 	c := call(s, 1, once)
 	isForward(t, c.open(begin, 0))
-	s.ApplySettings(begin, settings(3, service))
+	s.ApplySettings(settings(3, service))
 	isRefused(t, call(s, 2, once).open(begin, 0), wire.ReasonUnknownService)
 	isRefused(t, c.data(begin, 0, 1, 0), wire.ReasonUnknownService)
-	s.ApplySettings(begin, settings(2, service, once))
+	s.ApplySettings(settings(2, service, once))
 	isRefused(t, call(s, 3, once).open(begin, 0), wire.ReasonUnknownService)
 }
 
@@ -195,7 +195,7 @@
 func TestNotReady(t *testing.T) {
 	s := &Steer{Domain: "a", Seed: 1}
 	s.Start(begin)
-	s.ApplySettings(begin, settings(1, service))
+	s.ApplySettings(settings(1, service))
 	assert.Assert(t, !s.Ready())
 	isDropped(t, call(s, 1, service).open(begin, 0), wire.ReasonNoSettings)
 }
