--- a/pkg/steer/evidence.go
+++ b/pkg/steer/evidence.go
@@ -13,6 +13,10 @@
 	// silentFor is the time without any answer that it takes as well. Callers
 	// repeat data after 200 ms.
 	silentFor = 250 * time.Millisecond
+	// silentWithin is the longest time since data was last repeated. Older
+	// signs say nothing of a server that may be reached again. It is half of
+	// the time for which the platform counts a healed link as disturbed.
+	silentWithin = 2 * time.Second
 	// cutMisses is the number of signs in a row after which a failure domain
 	// counts as cut off.
 	cutMisses = 4
@@ -40,9 +44,11 @@
 type evidence struct {
 	answeredAt time.Time
 	misses     int
-	// unacked are the misses that were data of an open flow. A full server
-	// ignores openings, but takes the data of its flows.
-	unacked int
+	// unacked are the misses that were data of an open flow, the latest at
+	// unackedAt. A full server ignores openings, but takes the data of its
+	// flows.
+	unacked   int
+	unackedAt time.Time
 	// first is the flow of the first miss in a row; several tells that misses
 	// came from more than one flow.
 	first   flowKey
@@ -76,7 +82,14 @@
 // silent reports whether the server answers nobody, so that its open flows are
 // lost.
 func (e *evidence) silent(now time.Time) bool {
-	return e.unacked >= silentMisses && e.several && now.Sub(e.answeredAt) >= silentFor
+	return e.unacked >= silentMisses && e.several &&
+		now.Sub(e.answeredAt) >= silentFor && now.Sub(e.unackedAt) <= silentWithin
+}
+
+// mute reports whether the server has lately answered nobody, be it only one
+// that asked.
+func (e *evidence) mute(now time.Time) bool {
+	return e.misses >= suspectMisses && now.Sub(e.answeredAt) >= silentFor
 }
 
 func (e *evidence) alive(now time.Time) bool {
@@ -113,10 +126,29 @@
 	if d.cut {
 		s.Log.Info("failure domain reached again", "domain", name)
 	}
+	if d.cut {
+		// What its servers did not answer was lost on the way.
+		for _, r := range s.byName {
+			if r.Domain == name {
+				r.evidence = evidence{answeredAt: r.evidence.answeredAt}
+			}
+		}
+	}
 	d.cut = false
 	d.evidence.answered(now)
 }
 
+// unacked notes that a caller repeated data of an open flow.
+func (s *Steer) unacked(now time.Time, r *server, k flowKey) {
+	e := &r.evidence
+	if now.Sub(e.unackedAt) > silentWithin {
+		e.unacked = 0
+	}
+	e.unacked++
+	e.unackedAt = now
+	s.missed(now, r, k)
+}
+
 // missed notes that a server did not answer a flow. After a pause of this
 // process nothing is noted.
 func (s *Steer) missed(now time.Time, r *server, k flowKey) {
--- a/pkg/steer/flow.go
+++ b/pkg/steer/flow.go
@@ -37,6 +37,8 @@
 	askedAt time.Time
 	// repeats counts data that the caller sent again without progress.
 	repeats int
+	// answered tells that this instance saw the server answer the flow.
+	answered bool
 	// sentAt is when data was last forwarded.
 	sentAt time.Time
 	// doubted tells that the missing answer to its opening was counted.
@@ -118,7 +120,7 @@
 	}
 	f.seenAt = now
 	if !f.open {
-		f.open = true
+		f.open, f.answered = true, true
 		f.acked = p.Acked
 		s.OpenTime.Record(now.Sub(f.openedAt))
 		s.answered(now, r)
@@ -126,7 +128,7 @@
 	}
 	if after(p.Acked, f.acked) {
 		f.acked = p.Acked
-		f.repeats = 0
+		f.repeats, f.answered = 0, true
 		s.answered(now, r)
 		if !f.askedAt.IsZero() {
 			s.AnswerTime.Record(now.Sub(f.askedAt))
@@ -135,7 +137,10 @@
 	}
 	if p.Size > 0 {
 		s.data(now, p, f)
-		lost = rt != nil && rt.Repeatable && (r.evidence.silent(now) || f.repeats >= 2 && r.evidence.suspect(now))
+		// A flow that another instance opened may have been answered there,
+		// so it takes a sign of its own.
+		known := f.answered || f.repeats > 0
+		lost = rt != nil && rt.Repeatable && (known && r.evidence.silent(now) || f.repeats >= 2 && r.evidence.mute(now))
 	}
 	if p.End || p.Reset {
 		s.flows.forget(p)
@@ -155,8 +160,7 @@
 		}
 	case end == f.seq && now.Sub(f.sentAt) >= repeatGap:
 		f.repeats++
-		f.server.evidence.unacked++
-		s.missed(now, f.server, keyOf(p))
+		s.unacked(now, f.server, keyOf(p))
 	}
 	f.sentAt = now
 }
--- a/pkg/steer/place.go
+++ b/pkg/steer/place.go
@@ -84,7 +84,7 @@
 // usable reports whether a server may get new flows at all.
 func (s *Steer) usable(r *server) bool {
 	_, out := s.out[r.Domain]
-	return !out && !r.Leaving && r.token != 0 && s.byName[r.name] == r
+	return !out && !r.Leaving && !r.lapsed && r.token != 0 && s.byName[r.name] == r
 }
 
 // best returns the server with the lowest estimate.
--- a/pkg/steer/server.go
+++ b/pkg/steer/server.go
@@ -17,9 +17,10 @@
 	// cold; warms tells that it may at all.
 	coldNext time.Time
 	warms    bool
-	// lapsedAt is when the record was removed although the server still
-	// answered callers; zero for a server with a record.
+	// lapsedAt is when the record was removed; zero for a server with a
+	// record. A lapsed server gets no new flows.
 	lapsedAt time.Time
+	lapsed   bool
 	evidence evidence
 	load     load
 }
@@ -102,7 +103,7 @@
 	}
 	if !r.lapsedAt.IsZero() {
 		s.Log.Info("server is back in the store", "server", c.Name, "after", now.Sub(r.lapsedAt), "rev", c.Rev)
-		r.lapsedAt = time.Time{}
+		r.lapsedAt, r.lapsed = time.Time{}, false
 	}
 	r.Server = c.Value
 	r.Rev = c.Rev
@@ -111,19 +112,16 @@
 }
 
 // removeServer takes the removal of a record. A record can lapse although its
-// server lives, when the store was away; a server that answers callers is kept
-// for LapseFor, in which it can renew its record.
+// server lives, when the store was away from one of them; its flows go on for
+// LapseFor, in which it can renew its record. It gets new flows only if it
+// answers callers.
 func (s *Steer) removeServer(now time.Time, r *server) {
 	if r == nil || !r.lapsedAt.IsZero() {
 		return
 	}
-	alive := !r.Leaving && r.evidence.alive(now)
-	s.Log.Info("server removed from the store", "server", r.name, "service", r.Service, "leaving", r.Leaving, "answering", alive, "rev", r.Rev)
-	if alive {
-		r.lapsedAt = now
-		return
-	}
-	s.dropServer(r)
+	r.lapsedAt = now
+	r.lapsed = r.Leaving || !r.evidence.alive(now)
+	s.Log.Info("server removed from the store", "server", r.name, "service", r.Service, "leaving", r.Leaving, "newFlows", !r.lapsed, "answeredBefore", since(now, r.evidence.answeredAt), "rev", r.Rev)
 }
 
 // dropServer ends all use of a server. Packets of its flows are refused.
