steer: place openings behind servers that owe an answer

Change: the estimate of a server with an open sign counts three times; one log line says why each packet did not go to a server. Test: TestDoubtedServerComesLater.

--- a/pkg/docs/docs_test.go
+++ b/pkg/docs/docs_test.go
@@ -197,7 +197,7 @@
 
 // Guards against an alarm on a counter that does not exist.
 func TestCounters(t *testing.T) {
-	names := inCode(read(t, "docs/operations.md"), regexp.MustCompile("^`((?:refused|dropped|retried|closed|control|store|tables)\\.[\\w.]+)`$"))
+	names := inCode(read(t, "docs/OPERATIONS.md"), regexp.MustCompile("^`((?:refused|dropped|retried|closed|control|store|tables)\\.[\\w.]+)`$"))
 	assert.Assert(t, len(names) >= 20, "found only %d names", len(names))
 	for _, name := range names {
 		t.Run(name, func(t *testing.T) { assert.Assert(t, counterExists(t, name)) })
--- a/pkg/steer/evidence_test.go
+++ b/pkg/steer/evidence_test.go
@@ -194,3 +194,19 @@
 	assert.Equal(t, s.byName["s1"].evidence.misses, 0)
 	isForward(t, call(s, 1, service).open(begin.Add(2*time.Second), 0))
 }
+
+// Guards against openings, and copies of lost ones, that go to the next server
+// of a crash while only one sign of it is there.
+func TestDoubtedServerComesLater(t *testing.T) {
+	s := newSteer(record(1, "a"), record(2, "a"))
+	s.missed(begin, s.byName["s1"], flowKey{1})
+	for port := range uint16(20) {
+		c := call(s, port, service)
+		assert.Equal(t, c.open(begin, 0).To.Server, ServerID(2))
+		c.data(begin, 0, 10, 0)
+		c.data(begin, 10, 0, 100)
+		p := c.p
+		p.End, p.Token = true, c.token
+		s.Handle(begin, &p)
+	}
+}
--- a/pkg/steer/place.go
+++ b/pkg/steer/place.go
@@ -47,6 +47,9 @@
 	spread = 0.2
 	// coldFactor is how much slower a server is assumed to be after its start.
 	coldFactor = 2
+	// doubtFactor is how much longer an answer is assumed to take of a server
+	// that owes one: it may be gone, which shows after a second sign.
+	doubtFactor = 3
 )
 
 // place chooses the server of a new flow: the one with the least expected time
@@ -132,6 +135,9 @@
 	if now.Before(r.coldUntil) {
 		lat *= coldFactor
 	}
+	if r.evidence.misses > 0 {
+		lat *= doubtFactor
+	}
 	slots := float64(max(r.Slots, 1))
 	waiting := (float64(g.InFlight+g.openings) + g.Met(now)) / slots
 	busy := busyWeight * time.Duration(g.Worked(now)).Seconds()
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -116,13 +116,41 @@
 	switch v.Action {
 	case Drop:
 		s.Stats.Dropped.Add(v.Reason)
+		if v.Reason != wire.ReasonMalformed {
+			s.logEnd(now, "packet dropped", p, v.Reason)
+		}
 	case Refuse:
 		s.Stats.Refused.Add(v.Reason)
+		if p.Open {
+			s.logEnd(now, "opening refused", p, v.Reason)
+		} else {
+			s.logEnd(now, "flow closed", p, v.Reason)
+		}
 	case Forward:
 	}
 	return v
 }
 
+// logEnd writes why a packet did not go to a server, with what decided it.
+func (s *Steer) logEnd(now time.Time, msg string, p *Packet, why wire.Reason) {
+	as := make([]any, 0, 16)
+	as = append(as, "flow", p, "reason", why)
+	if s.settings != nil {
+		as = append(as, "version", s.settings.Version)
+	}
+	if !p.Open {
+		as = append(as, "token", p.Token)
+	}
+	if since, ok := s.unknown[p.Token]; ok && !p.Open {
+		as = append(as, "unknownFor", now.Sub(since))
+	}
+	if r := s.byToken[p.Token]; r != nil && !p.Open {
+		as = append(as, "server", r.name, "rev", r.Rev, "misses", r.evidence.misses, "unacked", r.evidence.unacked)
+		as = append(as, "answeredBefore", since(now, r.evidence.answeredAt))
+	}
+	s.Log.Info(msg, as...)
+}
+
 // open places a new flow, or a further copy of its opening.
 func (s *Steer) open(now time.Time, p *Packet) Verdict {
 	if !s.Ready() {
@@ -144,7 +172,6 @@
 	}
 	r, why := s.place(now, s.choose(rt), rt.Goal, tried)
 	if r == nil {
-		s.Log.Info("opening refused", "flow", p, "reason", why, "version", s.settings.Version)
 		return refuse(why)
 	}
 	s.Opened++
@@ -171,7 +198,6 @@
 		return refuse(wire.ReasonUnknownService)
 	}
 	if s.observe(now, p, r, rt) {
-		s.Log.Info("flow closed", "flow", p, "reason", wire.ReasonTimeout, "server", r.name, "misses", r.evidence.misses, "answeredBefore", since(now, r.evidence.answeredAt))
 		s.flows.forget(p)
 		return refuse(wire.ReasonTimeout)
 	}
@@ -184,18 +210,16 @@
 		return drop(wire.ReasonUnknownFlow)
 	}
 	if s.gone.has(p.Token) {
-		s.Log.Info("flow closed", "flow", p, "reason", wire.ReasonServerGone, "token", p.Token)
 		s.flows.forget(p)
 		return refuse(wire.ReasonServerGone)
 	}
-	since, ok := s.unknown[p.Token]
+	first, ok := s.unknown[p.Token]
 	if !ok && len(s.unknown) < maxUnknown {
 		s.unknown[p.Token] = now
 	}
-	if !s.Ready() || !ok || now.Sub(since) < s.Limits.UnknownFor {
+	if !s.Ready() || !ok || now.Sub(first) < s.Limits.UnknownFor {
 		return drop(wire.ReasonUnknownFlow)
 	}
-	s.Log.Info("flow closed", "flow", p, "reason", wire.ReasonUnknownFlow, "token", p.Token, "unknownFor", now.Sub(since))
 	return refuse(wire.ReasonUnknownFlow)
 }
 
