steer, feed: costs that do not grow with the fleet

Change: services are kept in order as records come, pending openings have a head, other failure domains are known by four members, cold servers are warmed by instances of their own domain.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 LINT      := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 LINT_BIN  := $(shell go env GOPATH)/bin/golangci-lint
 
-.PHONY: build test race bench format lint demo demo-split lint-tool target
+.PHONY: build test race bench format lint demo demo-split lint-tool target soak
 
 build:
 	mkdir -p bin
@@ -19,9 +19,9 @@
 
 # The schedules of emul/proof drive cores without goroutines in virtual time,
 # where the race detector has nothing to find and takes over ten minutes; one of
-# them runs under it to cover the path.
+# them runs under it to cover the path. The soak tests other processes.
 race:
-	go test -race $$(go list $(MODULES:%=./%/...) | grep -v '/emul/proof$$')
+	go test -race $$(go list $(MODULES:%=./%/...) | grep -v -e '/emul/proof$$' -e '/emul/soak$$')
 	go test -race -run 'TestRepeatable' ./emul/proof
 
 # The bounds are assertions on counts, ratios and virtual time inside the
@@ -38,6 +38,12 @@
 demo-split: build
 	scripts/split.sh $(DEMO_DIR)
 
+# The soak with fresh seeds, 8 at a time: make soak SEED=100 RUNS=50
+SEED ?= 1
+RUNS ?= 8
+soak:
+	SOAK_SEED=$(SEED) SOAK_RUNS=$(RUNS) go test ./emul/soak -v -count=1 -parallel 8 -timeout 60m
+
 lint-tool:
 	@"$(LINT_BIN)" version 2>/dev/null | grep -q 'version v\?2.15.0' || go install $(LINT)
 
--- a/emul/soak/ends_test.go
+++ b/emul/soak/ends_test.go
@@ -25,6 +25,7 @@
 	// notAfter is when openings must have ended, zero for no such time.
 	notAfter time.Time
 	dead     bool
+	state    string // as its record says
 }
 
 // state is a server's end of a flow.
--- a/emul/soak/soak_test.go
+++ b/emul/soak/soak_test.go
@@ -32,7 +32,13 @@
 )
 
 // seeds are run by CI. The first is there for the path; the others once failed.
-var seeds = []uint64{1}
+var seeds = []uint64{
+	1,
+	// 104, 110: a record that lapsed while its server was leaving came back as
+	// ready, because the stand-in server forgot what it had said. The fault was
+	// the test's; the seeds stay for the course.
+	104, 110,
+}
 
 // program is the path of the program under test.
 var program string
@@ -176,7 +182,8 @@
 	assert.NilError(w.t, err)
 	w.t.Cleanup(func() { _ = h.conn.Close() })
 	w.hosts = append(w.hosts, h)
-	h.register("ready")
+	h.setState("ready")
+	h.register()
 	go h.run()
 }
 
@@ -232,7 +239,8 @@
 // leave lets a server say that it leaves, and come back after its flows may
 // have ended.
 func (w *world) leave(h *host) string {
-	at := h.register("draining")
+	h.setState("draining")
+	at := h.register()
 	h.mu.Lock()
 	h.notAfter = at.Add(leaveWithin)
 	h.mu.Unlock()
@@ -240,7 +248,8 @@
 		h.mu.Lock()
 		h.notAfter = time.Time{}
 		h.mu.Unlock()
-		h.register("ready")
+		h.setState("ready")
+		h.register()
 	})
 	return "leave " + h.name
 }
@@ -249,7 +258,7 @@
 func (w *world) lapse(h *host, d time.Duration) string {
 	w.upsetFor(d)
 	w.store.put("servers", h.name, nil)
-	time.AfterFunc(d, func() { h.register("ready") })
+	time.AfterFunc(d, func() { h.register() })
 	return fmt.Sprintf("lapse %s %v", h.name, d)
 }
 
--- a/emul/soak/world_test.go
+++ b/emul/soak/world_test.go
@@ -260,11 +260,20 @@
 	return w.store.put("config", "main", spec)
 }
 
+func (h *host) setState(state string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.state = state
+}
+
 // register writes the record of a server.
-func (h *host) register(state string) time.Time {
+func (h *host) register() time.Time {
+	h.mu.Lock()
+	state := h.state
+	h.mu.Unlock()
 	return h.w.store.put("servers", h.name, map[string]any{
 		"Service": h.service, "Address": h.addr, "Zone": h.domain, "Version": "v1", "Capacity": 2,
-		"State": state, "WarmupLeftMs": 0, "Sequence": 1, "born": h.w.version,
+		"State": state, "WarmupLeftMs": 0, "Sequence": 1, "born": 1,
 	})
 }
 
--- a/pkg/feed/tree.go
+++ b/pkg/feed/tree.go
@@ -17,6 +17,9 @@
 	fan = 5
 	// shared is the number of members told in one message.
 	shared = 16
+	// foreign is the number of members of each other failure domain that are
+	// remembered, so that the first can fail.
+	foreign = 4
 	// memberFor is how long a member counts without a sign of life. News of
 	// members pass from one to another about once a second.
 	memberFor = 15 * time.Second
@@ -68,6 +71,7 @@
 			r.Member, r.heard = e, at
 		}
 	}
+	m.trim(now)
 }
 
 // Answered notes that a member answered, and Failed that it did not.
@@ -97,16 +101,33 @@
 	return out
 }
 
-// Names returns the addresses of all live members, this instance among them, as
-// text.
-func (m *Members) Names(now time.Time) []string {
+// Neighbours returns the addresses of the live members of the own failure
+// domain, this instance among them, as text.
+func (m *Members) Neighbours(now time.Time) []string {
 	out := []string{m.Self.Addr.String()}
 	for _, r := range m.live(now) {
-		out = append(out, r.Addr.String())
+		if r.Domain == m.Self.Domain {
+			out = append(out, r.Addr.String())
+		}
 	}
 	return out
 }
 
+// trim keeps the first few members of each other failure domain: their first is
+// all that the tree needs, and with 13,000 instances the rest would cost more
+// than all other control work.
+func (m *Members) trim(now time.Time) {
+	kept := map[string]int{}
+	for _, r := range m.live(now) {
+		if r.Domain == m.Self.Domain {
+			continue
+		}
+		if kept[r.Domain]++; kept[r.Domain] > foreign {
+			delete(m.rows, r.Addr)
+		}
+	}
+}
+
 // Any returns some live member.
 func (m *Members) Any(now time.Time) (netip.AddrPort, bool) {
 	rows := m.live(now)
--- a/pkg/feed/tree_test.go
+++ b/pkg/feed/tree_test.go
@@ -24,11 +24,13 @@
 	out := make([]*Members, n)
 	for i := range out {
 		out[i] = &Members{Self: memberAt(i%domains, i), Rand: rand.New(rand.NewPCG(1, uint64(i)))}
+		var list []Member
 		for j := range n {
 			if i != j && knows(i, j) {
-				out[i].Heard(begin, []Member{memberAt(j%domains, j)})
+				list = append(list, memberAt(j%domains, j))
 			}
 		}
+		out[i].Heard(begin, list)
 	}
 	return out
 }
@@ -106,3 +108,12 @@
 	_, level := low.Parent(forgotten)
 	assert.Equal(t, level, 0)
 }
+
+// Guards against a table of members that grows with all instances of all
+// failure domains.
+func TestMembersOfOtherDomainsAreFew(t *testing.T) {
+	for _, m := range fleet(10, 400, func(i, _ int) bool { return i == 0 })[:1] {
+		assert.Assert(t, len(m.rows) <= 39+9*foreign, "%d members", len(m.rows))
+		assert.Equal(t, len(m.Neighbours(begin)), 40)
+	}
+}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -24,7 +24,8 @@
 const (
 	// tickEvery is the interval of the systems of steer.
 	tickEvery = 100 * time.Millisecond
-	// peersEvery is the interval at which the live instances are told to steer.
+	// peersEvery is the interval at which steer is told the live instances of its
+	// failure domain.
 	peersEvery = time.Second
 	// socketBuffer in bytes holds about 2,000 large packets while the process
 	// does not run.
@@ -243,7 +244,7 @@
 		if now.Sub(told) >= peersEvery {
 			told = now
 			r.fmu.Lock()
-			peers = r.members.Names(now)
+			peers = r.members.Neighbours(now)
 			r.fmu.Unlock()
 		}
 		r.mu.Lock()
--- a/pkg/steer/cold.go
+++ b/pkg/steer/cold.go
@@ -19,17 +19,19 @@
 	coldSettle = 4 * time.Second
 )
 
-// SetPeers tells the names of all live instances, this one among them.
+// SetPeers tells the names of the live instances of the own failure domain, this
+// one among them.
 func (s *Steer) SetPeers(self string, names []string) {
 	s.self, s.peers = self, names
-	for _, r := range s.byName {
-		r.warms = s.warms(r)
-	}
 }
 
 // warms reports whether this instance is one of those that open flows at a
-// server while it is cold. Instances that know the same agree on who is.
+// server while it is cold: a few of the server's own failure domain. Instances
+// that know the same agree on who is.
 func (s *Steer) warms(r *server) bool {
+	if r.Domain != s.Domain {
+		return false
+	}
 	if len(s.peers) <= warmers {
 		return true
 	}
@@ -60,7 +62,7 @@
 	if s.coldRate(now, r) <= 0 {
 		return false
 	}
-	return !r.warms || now.Before(r.coldNext) || now.Sub(s.began) < coldSettle
+	return now.Before(r.coldNext) || now.Sub(s.began) < coldSettle || !s.warms(r)
 }
 
 // coldTake counts a flow that was placed at a server.
--- a/pkg/steer/evidence.go
+++ b/pkg/steer/evidence.go
@@ -187,18 +187,21 @@
 func (s *Steer) enter(now time.Time) {
 	if gap := now.Sub(s.entered); gap > maxGap {
 		s.trustAt = now.Add(distrust)
-		s.pending = s.pending[:0]
+		s.pending, s.due = s.pending[:0], 0
 	}
 	s.entered = now
-	n := 0
-	for ; n < len(s.pending) && now.Sub(s.pending[n].at) >= answerWithin; n++ {
-		p := &s.pending[n]
+	for s.due < len(s.pending) && now.Sub(s.pending[s.due].at) >= answerWithin {
+		p := &s.pending[s.due]
+		s.due++
 		if f := s.flows.rows[p.key]; f != nil && !f.open && !f.doubted && f.openedAt.Equal(p.at) {
 			f.doubted = true
 			s.missed(now, f.server, p.key)
 		}
 	}
-	s.pending = append(s.pending[:0], s.pending[n:]...)
+	if 2*s.due > len(s.pending) {
+		s.pending = append(s.pending[:0], s.pending[s.due:]...)
+		s.due = 0
+	}
 }
 
 // Isolated reports whether all servers that could take new flows of some
--- a/pkg/steer/place.go
+++ b/pkg/steer/place.go
@@ -11,19 +11,31 @@
 // pool holds the servers of one service by distance.
 type pool struct{ own, other []*server }
 
+func byName(a, b *server) int { return cmp.Compare(a.name, b.name) }
+
+// add takes a server in. The order makes choices repeatable.
 func (p *pool) add(r *server, own bool) {
+	rows := &p.other
 	if own {
-		p.own = append(p.own, r)
-	} else {
-		p.other = append(p.other, r)
+		rows = &p.own
 	}
+	i, _ := slices.BinarySearchFunc(*rows, r, byName)
+	*rows = slices.Insert(*rows, i, r)
+}
+
+func (p *pool) remove(r *server) {
+	is := func(o *server) bool { return o == r }
+	p.own, p.other = slices.DeleteFunc(p.own, is), slices.DeleteFunc(p.other, is)
 }
 
-// sort makes choices repeatable, since the servers come from a map.
-func (p *pool) sort() {
-	byName := func(a, b *server) int { return cmp.Compare(a.name, b.name) }
-	slices.SortFunc(p.own, byName)
-	slices.SortFunc(p.other, byName)
+// pool returns the servers of a service.
+func (s *Steer) pool(service string) *pool {
+	p := s.pools[service]
+	if p == nil {
+		p = &pool{}
+		s.pools[service] = p
+	}
+	return p
 }
 
 const (
--- a/pkg/steer/server.go
+++ b/pkg/steer/server.go
@@ -14,9 +14,8 @@
 	// coldUntil is when the slow time after its start ends.
 	coldUntil time.Time
 	// coldNext is when this instance may open the next flow there while it is
-	// cold; warms tells that it may at all.
+	// cold.
 	coldNext time.Time
-	warms    bool
 	// lapsedAt is when the record was removed; zero for a server with a
 	// record. A lapsed server gets no new flows.
 	lapsedAt time.Time
@@ -78,12 +77,17 @@
 			}
 		}
 	}
-	s.index()
+}
+
+// started reports whether a record is of another process than the one before, or
+// moved it.
+func started(a, b *Server) bool {
+	return a.ID != b.ID || !a.Born.Equal(b.Born) || a.Addr != b.Addr || a.Service != b.Service || a.Domain != b.Domain
 }
 
 func (s *Steer) putServer(now time.Time, c Change[Server]) {
 	r := s.byName[c.Name]
-	if r != nil && (r.ID != c.Value.ID || !r.Born.Equal(c.Value.Born) || r.Addr != c.Value.Addr || r.Service != c.Value.Service) {
+	if r != nil && started(&r.Server, &c.Value) {
 		// It started again: nothing that was known of it holds.
 		s.dropServer(r)
 		r = nil
@@ -95,8 +99,8 @@
 		}
 		r.Server = c.Value
 		s.byName[c.Name] = r
-		r.warms = s.warms(r)
 		s.claimToken(r)
+		s.pool(r.Service).add(r, r.Domain == s.Domain)
 		s.Log.Info("server known", "server", c.Name, "service", r.Service, "domain", r.Domain, "addr", r.Addr, "leaving", r.Leaving, "coldFor", r.ColdFor, "rev", c.Rev)
 	} else if r.Leaving != c.Value.Leaving {
 		s.Log.Info("server changed", "server", c.Name, "leaving", c.Value.Leaving, "rev", c.Rev)
@@ -104,6 +108,7 @@
 	if !r.lapsedAt.IsZero() {
 		s.Log.Info("server is back in the store", "server", c.Name, "after", now.Sub(r.lapsedAt), "rev", c.Rev)
 		r.lapsedAt, r.lapsed = time.Time{}, false
+		s.lapsing--
 	}
 	r.Server = c.Value
 	r.Rev = c.Rev
@@ -120,6 +125,7 @@
 		return
 	}
 	r.lapsedAt = now
+	s.lapsing++
 	r.lapsed = r.Leaving || !r.evidence.alive(now)
 	s.Log.Info("server removed from the store", "server", r.name, "service", r.Service, "leaving", r.Leaving, "newFlows", !r.lapsed, "answeredBefore", since(now, r.evidence.answeredAt), "rev", r.Rev)
 }
@@ -127,6 +133,14 @@
 // dropServer ends all use of a server. Packets of its flows are refused.
 func (s *Steer) dropServer(r *server) {
 	delete(s.byName, r.name)
+	p := s.pool(r.Service)
+	p.remove(r)
+	if len(p.own)+len(p.other) == 0 {
+		delete(s.pools, r.Service)
+	}
+	if !r.lapsedAt.IsZero() {
+		s.lapsing--
+	}
 	if s.byToken[r.token] == r {
 		delete(s.byToken, r.token)
 		s.gone.add(r.token)
@@ -135,31 +149,13 @@
 
 // expireLapsed drops servers whose record did not come back in time.
 func (s *Steer) expireLapsed(now time.Time) {
-	dropped := false
+	if s.lapsing == 0 {
+		return
+	}
 	for _, r := range s.byName {
 		if !r.lapsedAt.IsZero() && now.Sub(r.lapsedAt) >= s.Limits.LapseFor {
 			s.Log.Info("server did not renew its record", "server", r.name, "after", now.Sub(r.lapsedAt))
 			s.dropServer(r)
-			dropped = true
 		}
 	}
-	if dropped {
-		s.index()
-	}
-}
-
-// index groups the servers by service.
-func (s *Steer) index() {
-	clear(s.pools)
-	for _, r := range s.byName {
-		p := s.pools[r.Service]
-		if p == nil {
-			p = &pool{}
-			s.pools[r.Service] = p
-		}
-		p.add(r, r.Domain == s.Domain)
-	}
-	for _, p := range s.pools {
-		p.sort()
-	}
 }
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -65,9 +65,11 @@
 	gone     tokenSet // tokens of servers that were dropped
 	unknown  map[uint32]time.Time
 	domains  map[string]*domain
-	pending  []pending
+	pending  []pending // openings by time; those before due are done
+	due      int
 	self     string   // name of this instance
-	peers    []string // names of all live instances
+	peers    []string // names of the live instances of the own domain
+	lapsing  int      // servers without a record that may come back
 	listed   bool
 	tickedAt time.Time
 	began    time.Time // start of the process
