--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -120,6 +120,7 @@
 	if err := conn.SetReadBuffer(socketBuffer); err != nil {
 		r.Log.Warn("read buffer not set", "bytes", socketBuffer, "err", err)
 	}
+	r.startFeed()
 	ready, err := r.serveReady()
 	if err != nil {
 		_ = conn.Close()
@@ -136,7 +137,6 @@
 		_ = conn.Close()
 		return errors.Join(err, ready.Close(), peers.Close())
 	}
-	r.startFeed()
 	r.Log.Info("started", "data", r.Data, "ready", r.Ready)
 	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
--- a/pkg/steer/facts.go
+++ b/pkg/steer/facts.go
@@ -39,9 +39,8 @@
 	To []Share
 	// Repeatable requests may be sent again by the caller after any failure.
 	Repeatable bool
-	// Goal is the time within which an answer has its full value, Timeout the
-	// longest time that a request may take.
-	Goal, Timeout time.Duration
+	// Goal is the time within which an answer has its full value.
+	Goal time.Duration
 }
 
 // Service is what the settings say of all servers of a service.
--- a/pkg/steer/flow.go
+++ b/pkg/steer/flow.go
@@ -46,7 +46,7 @@
 }
 
 // flowIdle is the time without packets after which notes on a flow are
-// discarded. Most flows carry one request; for others only the load estimate
+// discarded, unless the settings say when a flow is idle. Only the load estimate
 // loses by it.
 const flowIdle = 15 * time.Second
 
@@ -90,9 +90,9 @@
 	}
 }
 
-func (t *flows) expire(now time.Time) {
+func (t *flows) expire(now time.Time, idle time.Duration) {
 	for k, f := range t.rows {
-		if now.Sub(f.seenAt) > flowIdle {
+		if now.Sub(f.seenAt) > idle {
 			f.end()
 			delete(t.rows, k)
 		}
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -118,9 +118,7 @@
 	switch v.Action {
 	case Drop:
 		s.Stats.Dropped.Add(v.Reason)
-		if v.Reason != wire.ReasonMalformed {
-			s.logEnd(now, "packet dropped", p, v.Reason)
-		}
+		s.logEnd(now, "packet dropped", p, v.Reason)
 	case Refuse:
 		s.Stats.Refused.Add(v.Reason)
 		if p.Open {
@@ -233,7 +231,11 @@
 		return
 	}
 	s.tickedAt = now
-	s.flows.expire(now)
+	idle := flowIdle
+	if s.settings != nil && s.settings.Idle > 0 {
+		idle = s.settings.Idle
+	}
+	s.flows.expire(now, idle)
 	for t, since := range s.unknown {
 		if _, known := s.byToken[t]; known || now.Sub(since) > unknownLife {
 			delete(s.unknown, t)
--- a/pkg/steer/steer_test.go
+++ b/pkg/steer/steer_test.go
@@ -28,7 +28,7 @@
 func settings(version uint64, addrs ...netip.AddrPort) *Settings {
 	set := &Settings{Version: version, Rev: version, Services: []Service{{Name: "s", ColdFor: 2 * time.Second}}}
 	for _, a := range addrs {
-		set.Routes = append(set.Routes, Route{Addr: a, To: []Share{{"s", 1}}, Repeatable: a == service, Goal: 150 * time.Millisecond, Timeout: time.Second})
+		set.Routes = append(set.Routes, Route{Addr: a, To: []Share{{"s", 1}}, Repeatable: a == service, Goal: 150 * time.Millisecond})
 	}
 	return set
 }
