--- a/pkg/calls/call.go
+++ b/pkg/calls/call.go
@@ -117,11 +117,18 @@
 	t.timers.set(&c.timer, t.wakeup(now, c))
 }
 
+// AnswerGrace is how long after the deadline of an attempt its answer may come:
+// the bound of clock skew, 100 ms, and the way back.
+const AnswerGrace = 250 * time.Millisecond
+
 // wakeup is when a running request needs attention. A request that runs at
-// most once has a single attempt, which lasts until the deadline.
+// most once has a single attempt, which lasts until its server gives it up.
 func (t *Table) wakeup(now time.Time, c *call) time.Time {
 	at := now.Add(t.Services.Limits(c.service).Attempt)
-	if c.once || at.After(c.deadline) {
+	if c.once {
+		at = c.placement.Until.Add(AnswerGrace)
+	}
+	if at.After(c.deadline) {
 		return c.deadline
 	}
 	return at
@@ -178,7 +185,7 @@
 	switch {
 	case c.phase != phaseRunning:
 		t.forget(c)
-	case now.Before(c.deadline):
+	case now.Before(c.deadline) && !c.once:
 		t.retry(now, c, ResultTimedOut, wire.ReasonRetryTimeout, out)
 	default:
 		c.cancelAttempt(out)
--- a/pkg/calls/calls_test.go
+++ b/pkg/calls/calls_test.go
@@ -142,6 +142,28 @@
 	assert.Equal(t, r.pl[0].open, 1)
 }
 
+// The outcome of a request that may run once is open only until the server has
+// given it up. The caller does not wait for its own deadline then, and an answer
+// that was on its way still replaces the outcome.
+func TestPlacementLimitEndsOnce(t *testing.T) {
+	r := newRig(t)
+	p := r.ticketed()
+	r.pl[0].until = start.Add(100 * time.Millisecond)
+	r.request(0, p)
+	s := r.one(wire.ToServer)
+	r.tick(100*time.Millisecond + calls.AnswerGrace - time.Millisecond)
+	assert.Equal(t, len(r.sends()), 0)
+	r.tick(time.Millisecond)
+	got := r.sends()
+	assert.Equal(t, len(got), 2, "%+v", got)
+	assert.Equal(t, got[1].Packet.Frame.Outcome, wire.OutcomeUnknown)
+	assert.Equal(t, got[1].Packet.Frame.Reason, wire.ReasonTimeout)
+	r.reply(s, 0, 1, nil)
+	r.sends()
+	r.request(0, p)
+	assert.Equal(t, r.one(wire.ToCaller).Packet.Frame.Outcome, wire.OutcomeDone)
+}
+
 // Section 6, server dead or paused: a repeatable request moves to another
 // server, and what the first one sends afterwards is dropped.
 func TestServerSilent(t *testing.T) {
--- a/pkg/pick/cold_test.go
+++ b/pkg/pick/cold_test.go
@@ -356,3 +356,45 @@
 		})
 	}
 }
+
+// Requests that may run once must not start at a cold server so late in an
+// epoch that the server gives them up half done: nobody may repeat them. The
+// service times are exponential, the instance has just started, and requests
+// come all the time.
+func TestColdRequestsEndInTime(t *testing.T) {
+	const mean = 40 * time.Millisecond
+	draw := rand.New(rand.NewPCG(3, 4))
+	p := &Picker{Entry: "a0", Domain: "a", Servers: &fixed{total: 1}, Rand: rand.New(rand.NewPCG(1, 1))}
+	p.Apply(begin.Add(-settleTime), settings(200))
+	var sent, cut int
+	var busy []running
+	for step := range 12000 {
+		now := begin.Add(time.Duration(step) * stepTime)
+		keep := busy[:0]
+		for _, q := range busy {
+			if step < q.until {
+				keep = append(keep, q)
+				continue
+			}
+			p.Finished(now, q.c, Result{Outcome: q.report, Latency: time.Duration(q.until-q.from) * stepTime})
+		}
+		busy = keep
+		c, why := p.Place(now, &Ask{
+			Service: 7, Once: true, Deadline: now.Add(5 * time.Second),
+			CrossUntil: now.Add(fresh), ColdUntil: now.Add(fresh),
+		})
+		if why != wire.ReasonNone {
+			continue
+		}
+		sent++
+		end := now.Add(time.Duration(draw.ExpFloat64() * float64(mean)))
+		q := running{c: c, from: step, until: step + max(int(end.Sub(now)/stepTime), 1), report: Done}
+		if end.After(c.Deadline) {
+			cut++
+			q.report = TimedOut
+		}
+		busy = append(busy, q)
+	}
+	assert.Assert(t, sent > 3000, "%d sent", sent)
+	assert.Assert(t, cut*1000 <= sent, "%d of %d cut by the end of the epoch", cut, sent)
+}
