pick: no request to a cold server of unknown service time late in an epoch

Change: the room before the end of the epoch is asked of all requests, half of the epoch while the service time is unknown, apart from the caller's deadline.

--- a/pkg/pick/cold_test.go
+++ b/pkg/pick/cold_test.go
@@ -398,3 +398,33 @@
 	assert.Assert(t, sent > 3000, "%d sent", sent)
 	assert.Assert(t, cut*1000 <= sent, "%d of %d cut by the end of the epoch", cut, sent)
 }
+
+// Guards against a request that starts at a cold server of unknown service time
+// just before the epoch ends: the server gives it up, and a repeatable one waits
+// for its next attempt in vain.
+func TestColdUnknownServiceTime(t *testing.T) {
+	for name, tc := range map[string]struct {
+		left time.Duration
+		wait time.Duration // of the caller
+		flow bool
+		want wire.Reason
+	}{
+		"early":        {1500 * time.Millisecond, 5 * time.Second, false, wire.ReasonNone},
+		"hasty caller": {1500 * time.Millisecond, 300 * time.Millisecond, false, wire.ReasonNone},
+		"late":         {5 * time.Millisecond, 5 * time.Second, false, wire.ReasonColdLimit},
+		"late flow":    {5 * time.Millisecond, 5 * time.Second, true, wire.ReasonNone},
+	} {
+		t.Run(name, func(t *testing.T) {
+			why := wire.ReasonColdLimit
+			for _, p := range pickers(1, &fixed{total: 60}) {
+				l := p.rows[1].limits
+				now := begin.Truncate(l.epoch).Add(4*l.epoch - l.skew - tc.left)
+				ask := &Ask{Service: 7, Flow: tc.flow, Deadline: now.Add(tc.wait), CrossUntil: now.Add(fresh), ColdUntil: now.Add(fresh)}
+				if _, r := p.Place(now, ask); r == wire.ReasonNone {
+					why = r
+				}
+			}
+			assert.Equal(t, why, tc.want)
+		})
+	}
+}
--- a/pkg/pick/place.go
+++ b/pkg/pick/place.go
@@ -194,7 +194,7 @@
 	epoch, end, ok := r.limits.window(now)
 	o.limit(end)
 	o.limit(ask.ColdUntil)
-	if !ok || now.Before(p.quiet) || r.place.index < 0 || o.deadline.Sub(now) <= r.coldRoom(ask) {
+	if !ok || now.Before(p.quiet) || r.place.index < 0 || o.deadline.Sub(now) <= coldRoom*r.Latency || end.Sub(now) <= r.epochRoom(ask) {
 		return o, wire.ReasonColdLimit
 	}
 	r.roll(epoch)
@@ -216,25 +216,28 @@
 	// coldRoom is the time that work at a cold server needs before its
 	// deadline, in estimated service times.
 	coldRoom = 2
-	// onceRoom is coldRoom for a request that may run once, whose outcome stays
-	// unknown when the server gives it up. The estimate follows short answers,
-	// so this is seven means of exponential service times.
+	// onceRoom is the same before the end of the epoch for a request that may
+	// run once, whose outcome stays unknown when the server gives it up. The
+	// estimate follows short answers, so this is seven means of exponential
+	// service times.
 	onceRoom = 16
 )
 
-// coldRoom returns how long before its deadline work must start at a cold
-// server. A request that may run once gets no more than half of the epoch,
-// because a slow server would get none otherwise, and no less while the
-// service time is unknown.
-func (r *row) coldRoom(ask *Ask) time.Duration {
-	if !ask.Once {
-		return coldRoom * r.Latency
-	}
+// epochRoom returns how long before the end of the epoch work must start at a
+// cold server: half of the epoch while the service time is unknown, and at
+// most, because a slow server would get nothing otherwise. A flow opens at
+// once.
+func (r *row) epochRoom(ask *Ask) time.Duration {
 	half := r.limits.epoch / 2
-	if r.Latency == 0 {
+	switch {
+	case ask.Flow:
+		return 0
+	case r.Latency == 0:
 		return half
+	case ask.Once:
+		return min(onceRoom*r.Latency, half)
 	}
-	return min(onceRoom*r.Latency, half)
+	return 0
 }
 
 func (o *offer) limit(t time.Time) {
