--- a/emul/soak/soak_test.go
+++ b/emul/soak/soak_test.go
@@ -21,9 +21,8 @@
 )
 
 const (
-	edges     = 4
-	perDomain = 3 // servers of each service in each of two domains
-	callers   = 40
+	perDomain = 3  // servers of each service in each of two domains
+	callers   = 10 // for each instance
 	soakTime  = 12 * time.Second
 	// calm is the time after the last disturbance until everything must be
 	// served: the time in which a machine counts as in touch, and a request.
@@ -96,13 +95,17 @@
 	}
 	go w.probeReady(quiet)
 	time.Sleep(4 * time.Second)
-	for i := range callers {
+	for i := range callers * len(w.edges) {
 		c := &caller{w: w, rnd: rand.New(rand.NewPCG(seed, uint64(1000+i)))}
 		go c.run(stop)
 	}
 	var plan []string
+	paths := rand.New(rand.NewPCG(seed, 8)) // of its own, so that older seeds keep their course
 	for end := time.Now().Add(soakTime); time.Now().Before(end); {
 		plan = append(plan, w.disturb())
+		if paths.IntN(3) == 0 {
+			plan = append(plan, w.slowDown(paths))
+		}
 		time.Sleep(time.Duration(200+w.rnd.IntN(900)) * time.Millisecond)
 	}
 	time.Sleep(calm)
@@ -141,7 +144,7 @@
 	w.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(w.callers, w.port)))
 	assert.NilError(t, err)
 	w.serveStore()
-	for i := range edges {
+	for i := range env("SOAK_EDGES", 4) {
 		ip := w.ip(1, byte(i+1))
 		p, err := newProxy(netip.AddrPortFrom(w.ip(8, byte(i+1)), 8169).String(), netip.AddrPortFrom(w.ip(7, 1), 8169).String())
 		assert.NilError(t, err)
@@ -236,6 +239,24 @@
 	}
 }
 
+// slowDown begins a disturbance of datagrams or of the store's answers and
+// returns what it is.
+func (w *world) slowDown(rnd *rand.Rand) string {
+	e := w.edges[rnd.IntN(len(w.edges))]
+	d := time.Duration(300+rnd.IntN(1700)) * time.Millisecond
+	if rnd.IntN(3) == 0 {
+		w.upsetFor(d + time.Second)
+		w.store.slow.Store(int64(250 * time.Millisecond))
+		time.AfterFunc(d, func() { w.store.slow.Store(0) })
+		return fmt.Sprintf("store slow %v", d)
+	}
+	late := time.Duration(rnd.IntN(4)) * 100 * time.Millisecond
+	e.signal(syscall.SIGCONT, d+2*late+time.Second)
+	e.late.Store(int64(max(late, lost)))
+	time.AfterFunc(d, func() { e.late.Store(0) })
+	return fmt.Sprintf("datagrams to %s late by %v for %v", e.name, late, d)
+}
+
 // leave lets a server say that it leaves, and come back after its flows may
 // have ended.
 func (w *world) leave(h *host) string {
--- a/emul/soak/world_test.go
+++ b/emul/soak/world_test.go
@@ -41,8 +41,14 @@
 	exited    chan struct{}
 	disturbed time.Time // until when it is, or was
 	inUse     atomic.Bool
+	// late is by how many nanoseconds datagrams of callers come late and in
+	// another order, or lost.
+	late atomic.Int64
 }
 
+// lost is the delay that stands for datagrams that never come.
+const lost = 1
+
 // world is one deployment on a loopback network of its own.
 type world struct {
 	t       *testing.T
@@ -135,7 +141,16 @@
 }
 
 func (w *world) sendTo(e *edge, p packet) {
-	_, _ = w.conn.WriteToUDPAddrPort(p.encode(), e.data) // a dead instance refuses
+	send := func() {
+		_, _ = w.conn.WriteToUDPAddrPort(p.encode(), e.data) // a dead instance refuses
+	}
+	switch late := time.Duration(e.late.Load()); late {
+	case 0:
+		send()
+	case lost:
+	default:
+		time.AfterFunc(late/2+time.Duration(rand.Int64N(int64(late))), send)
+	}
 }
 
 // receive passes packets to callers and checks resets.
