relay: a new reader of the store confirms facts at once

Cause: when the reader is turned away, instances below it go stale level by level, 150 ms apart.

Change: the first watch of an instance that begins to read waits 20 ms.

--- a/pkg/relay/reader.go
+++ b/pkg/relay/reader.go
@@ -20,6 +20,10 @@
 	// gather is the pause between two watches, in which several changes of one
 	// cause come together and cost one call.
 	gather = 250 * time.Millisecond
+	// confirmWait is the wait of the first watch of an instance that begins to
+	// read. The instances below it read themselves unless it confirms their
+	// facts within a step of Duty.
+	confirmWait = 20 * time.Millisecond
 	// retryFirst and retryLongest bound the wait after a failed call.
 	retryFirst   = 200 * time.Millisecond
 	retryLongest = time.Second
@@ -83,6 +87,7 @@
 		reads, news, rev := r.reading, r.news, r.book.Revs()[k]
 		r.fmu.Unlock()
 		if !reads {
+			l.begins = true
 			select {
 			case <-ctx.Done():
 			case <-news:
@@ -99,6 +104,7 @@
 			continue
 		}
 		l.regained(d.Rev)
+		l.begins = false
 		if !d.Full && len(d.Facts) == 0 {
 			// A watch without changes does not move the revision: one that
 			// the store kept from hearing would skip what it missed.
@@ -118,6 +124,9 @@
 	if rev == 0 || l.list {
 		return r.Store.List(ctx, k, listTime<<min(l.failed, listDoubles))
 	}
+	if l.begins {
+		return r.Store.Watch(ctx, k, rev, confirmWait)
+	}
 	return r.Store.Watch(ctx, k, rev, r.Duty.ConfirmEvery())
 }
 
@@ -126,6 +135,7 @@
 	r      *Relay
 	kind   feed.Kind
 	list   bool // the next call reads everything
+	begins bool // the instance did not read before
 	lostAt time.Time
 	wait   time.Duration
 	failed int // calls in a row
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -28,10 +29,14 @@
 	version uint64
 	news    chan struct{}
 	calls   map[string]int // by instance
+	waits   map[string][]time.Duration
 	down    bool
+	away    string // the instance that is turned away
 }
 
-func newShelf() *shelf { return &shelf{rev: 1, news: make(chan struct{}), calls: map[string]int{}} }
+func newShelf() *shelf {
+	return &shelf{rev: 1, news: make(chan struct{}), calls: map[string]int{}, waits: map[string][]time.Duration{}}
+}
 
 // change puts new settings in the store.
 func (s *shelf) change() uint64 {
@@ -92,8 +97,9 @@
 	defer cancel()
 	v.s.mu.Lock()
 	v.s.calls[v.name]++
+	v.s.waits[v.name] = append(v.s.waits[v.name], wait)
 	for {
-		d, news, down := v.s.delta(k, since), v.s.news, v.s.down
+		d, news, down := v.s.delta(k, since), v.s.news, v.s.down || v.s.away == v.name
 		v.s.mu.Unlock()
 		switch {
 		case down:
@@ -243,6 +249,31 @@
 	soon(t, "the second reads itself", func() bool { return second.version() == v })
 }
 
+// Guards against the whole fleet reading the store when the reader is turned
+// away: the instances below a new reader wait only a moment for what it reads.
+func TestNewReaderConfirmsAtOnce(t *testing.T) {
+	s := newShelf()
+	v := s.change()
+	first := start(t, s, "first", 9)
+	soon(t, "the first has the settings", func() bool { return first.version() == v })
+	second := start(t, s, "second", 1, first.Control)
+	soon(t, "the second no longer reads", func() bool { return second.version() == v && !second.reads() })
+	time.Sleep(2 * second.Duty.ConfirmEvery()) // calls that were in progress end
+	s.mu.Lock()
+	s.away, s.waits = "first", map[string][]time.Duration{}
+	s.mu.Unlock()
+	soon(t, "the second reads all kinds", func() bool { return len(s.waitsOf("second")) >= int(feed.Kinds) })
+	for _, w := range s.waitsOf("second")[:feed.Kinds] {
+		assert.Equal(t, w, confirmWait)
+	}
+}
+
+func (s *shelf) waitsOf(name string) []time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.waits[name])
+}
+
 // Guards against an instance that cannot start while the store is away,
 // although others know everything.
 func TestStartsFromOthersWhileStoreIsAway(t *testing.T) {
