relay: close idle connections to other instances

Cause: each instance that starts calls its seeds once and kept the connection for good; at the planned size a seed would hold thousands of them.

Change: a connection without calls closes after 1 s. Calls to the parent follow each other at once and keep theirs.

Figures: TestIdleConnectionsClose times out before, passes after 1 s.

--- a/pkg/relay/peer.go
+++ b/pkg/relay/peer.go
@@ -43,6 +43,10 @@
 	// after about 3 s.
 	keepIdle  = time.Second
 	keepTries = 2
+	// idleFor is how long a connection stays open without calls. The calls to
+	// the parent follow each other at once, while seeds are called by every
+	// instance that starts, and would keep thousands of connections.
+	idleFor = time.Second
 )
 
 // errLeaving tells an asking instance to ask another one.
@@ -127,7 +131,7 @@
 		return nil, err
 	}
 	d := &net.Dialer{Timeout: dialTime, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepIdle, Interval: keepIdle, Count: keepTries}}
-	return &asker{&http.Client{Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true}}, codec}, nil
+	return &asker{&http.Client{Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleFor, DisableCompression: true}}, codec}, nil
 }
 
 func (a *asker) ask(ctx context.Context, to netip.AddrPort, q feed.Question) (*feed.Answer, error) {
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -8,15 +8,19 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"ebonypaddle/pkg/admin"
 	"ebonypaddle/pkg/feed"
 	"ebonypaddle/pkg/steer"
 	"ebonypaddle/pkg/store"
@@ -315,6 +319,33 @@
 	soon(t, "the packet is answered", func() bool { return i.Counts.Out.Load() == 1 })
 }
 
+// Guards against connections that every instance which ever started leaves at a
+// seed.
+func TestIdleConnectionsClose(t *testing.T) {
+	var open atomic.Int32
+	codec, err := admin.NewCodec()
+	assert.NilError(t, err)
+	answer := func(context.Context, feed.Question) (feed.Answer, error) { return feed.Answer{}, nil }
+	seed := httptest.NewUnstartedServer(connect.NewUnaryHandler(askPath, admin.Unary(answer), connect.WithCodec(codec)))
+	seed.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		switch s {
+		case http.StateNew:
+			open.Add(1)
+		case http.StateClosed:
+			open.Add(-1)
+		case http.StateActive, http.StateIdle, http.StateHijacked:
+		}
+	}
+	seed.Start()
+	t.Cleanup(seed.Close)
+	a, err := newAsker()
+	assert.NilError(t, err)
+	_, err = a.ask(t.Context(), netip.MustParseAddrPort(seed.Listener.Addr().String()), feed.Question{})
+	assert.NilError(t, err)
+	assert.Equal(t, open.Load(), int32(1))
+	soon(t, "the connection is closed", func() bool { return open.Load() == 0 })
+}
+
 // Guards against counters that cannot be published as JSON.
 func TestVars(t *testing.T) {
 	i := start(t, newShelf(), "only", 1)
