--- a/Makefile
+++ b/Makefile
@@ -38,11 +38,12 @@
 demo-split: build
 	scripts/split.sh $(DEMO_DIR)
 
-# The soak with fresh seeds, 8 at a time: make soak SEED=100 RUNS=50
+# The soak with fresh seeds, 8 at a time: make soak SEED=100 RUNS=50 [EDGES=40]
 SEED ?= 1
 RUNS ?= 8
+EDGES ?= 4
 soak:
-	SOAK_SEED=$(SEED) SOAK_RUNS=$(RUNS) go test ./emul/soak -v -count=1 -parallel 8 -timeout 60m
+	SOAK_SEED=$(SEED) SOAK_RUNS=$(RUNS) SOAK_EDGES=$(EDGES) go test ./emul/soak -v -count=1 -parallel 8 -timeout 60m
 
 lint-tool:
 	@"$(LINT_BIN)" version 2>/dev/null | grep -q 'version v\?2.15.0' || go install $(LINT)
--- a/ebonyd/cmd/ebonyd/main.go
+++ b/ebonyd/cmd/ebonyd/main.go
@@ -148,9 +148,10 @@
 	expvar.Publish("retried", &d.Stats.Retried)
 	expvar.Publish("closed", &d.Stats.Closed)
 	for name, f := range map[string]func() any{
-		"control": func() any { return d.Counters.Map() },
-		"tables":  func() any { return d.Tables() },
-		"store":   func() any { return d.Store.Counters.Map() },
+		"control":  func() any { return d.Counters.Map() },
+		"tables":   func() any { return d.Tables() },
+		"settings": func() any { return d.Settings() },
+		"store":    func() any { return d.Store.Counters.Map() },
 	} {
 		expvar.Publish(name, expvar.Func(f))
 	}
--- a/emul/judge/judge.go
+++ b/emul/judge/judge.go
@@ -22,6 +22,7 @@
 	out = append(out, r.requests()...)
 	out = append(out, r.leaving()...)
 	out = append(out, r.stops()...)
+	out = append(out, r.reverts())
 	return append(out, r.settings()...)
 }
 
@@ -183,6 +184,30 @@
 	return out
 }
 
+// reverts checks that no process went back to older settings. A new process at
+// the place of an old one may begin lower, so places with events of processes
+// do not count.
+func (r *Run) reverts() Check {
+	replaced := map[string]bool{}
+	for _, e := range r.Events {
+		if e.Kind == Kill || e.Kind == Stop {
+			replaced[e.Name()] = true
+		}
+	}
+	highest := map[string]uint64{}
+	var back []string
+	for _, s := range r.Samples {
+		for _, name := range slices.Sorted(maps.Keys(s.Instances)) {
+			rev := s.Instances[name].Settings["rev"]
+			if !replaced[name] && rev < highest[name] {
+				back = append(back, fmt.Sprintf("%s from %d to %d", name, highest[name], rev))
+			}
+			highest[name] = max(highest[name], rev)
+		}
+	}
+	return Check{10, "no process went back to older settings", len(back) == 0, fmt.Sprintf("%d of %d instances judged, %v", len(highest)-len(replaced), len(highest), back)}
+}
+
 // settings checks how long each edit took to be in force everywhere.
 func (r *Run) settings() []Check {
 	var out []Check
--- a/emul/judge/judge_test.go
+++ b/emul/judge/judge_test.go
@@ -110,6 +110,11 @@
 		{"new flow on a leaving server", func(r *judge.Run) { r.Samples[2].Servers[0].Flows++ }, []int{8}},
 		{"one sample of a leaving server", func(r *judge.Run) { r.Samples[1].At = at(12) }, []int{8}},
 		{"request cut by a stop", func(r *judge.Run) { r.Reports["order"].Unknown[0].Ended = at(6) }, []int{9}},
+		{"settings went back", func(r *judge.Run) {
+			for i, rev := range []uint64{7, 8, 8, 7, 8} {
+				r.Samples[i].Instances["b-1"] = judge.Vars{Settings: map[string]uint64{"rev": rev}}
+			}
+		}, []int{10}},
 		{"setting in force late", func(r *judge.Run) { r.Events[6].Args[2] = "4.1" }, []int{10}},
 		{"setting not in force", func(r *judge.Run) { r.Events[6].Args[1] = "5" }, []int{10}},
 	} {
--- a/emul/judge/sample.go
+++ b/emul/judge/sample.go
@@ -26,6 +26,8 @@
 	Retried map[string]uint64 `json:"retried"`
 	Closed  map[string]uint64 `json:"closed"`
 	Control map[string]uint64 `json:"control"`
+	// Settings holds the revision in force as rev.
+	Settings map[string]uint64 `json:"settings"`
 }
 
 // Server is the state of one backend server.
--- a/pkg/daemon/counter.go
+++ b/pkg/daemon/counter.go
@@ -31,6 +31,16 @@
 	}
 }
 
+// Settings returns the revision of the settings in force, 0 without any.
+func (d *Daemon) Settings() map[string]uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.core == nil {
+		return nil
+	}
+	return map[string]uint64{"rev": d.core.Replica.Rev()}
+}
+
 // Tables returns the counters and sizes of the core's tables by package.
 func (d *Daemon) Tables() map[string]any {
 	d.mu.Lock()
