--- a/pkg/core/caller.go
+++ b/pkg/core/caller.go
@@ -50,7 +50,7 @@
 func (c *Core) refuse(p *wire.Packet, why wire.Reason) {
 	c.Stats.Refused.Add(why)
 	if p.Frame.Kind == wire.KindRequest {
-		c.Log.Info("request refused", "request", p.Frame.ID, "caller", p.Caller, "service", p.Service, "outcome", wire.OutcomeUnknown, "reason", why)
+		c.Log.Info("request refused", "request", p.Frame.ID, "caller", p.Caller, "service", p.Service, "outcome", wire.OutcomeUnknown, "reason", why, "rev", c.rev())
 	} else {
 		c.Log.Info("flow refused", "flow", p, "reason", why, "rev", c.rev())
 	}
--- a/pkg/core/log_test.go
+++ b/pkg/core/log_test.go
@@ -49,6 +49,12 @@
 			},
 			[]string{`msg="request refused"`, "reason=unknownService"},
 		},
+		"dropped": {
+			func(c *Core) wire.RequestID {
+				return request(c, func(p *wire.Packet) { p.Frame.Kind = wire.KindCancel })
+			},
+			[]string{`msg="frame dropped"`, "kind=cancel", "reason=cancelled"},
+		},
 		"ticket": {
 			func(c *Core) wire.RequestID {
 				return request(c, func(p *wire.Packet) { p.Frame.Flags = wire.FlagOnce })
--- a/pkg/wire/frame.go
+++ b/pkg/wire/frame.go
@@ -32,6 +32,19 @@
 	kindEnd
 )
 
+var kindNames = [kindEnd]string{
+	KindOpen: "open", KindOpened: "opened", KindData: "data", KindClose: "close", KindClosed: "closed", KindRequest: "request",
+	KindAnswer: "answer", KindRefusal: "refusal", KindCancel: "cancel", KindProbe: "probe", KindProbed: "probed",
+}
+
+// LogValue returns the name of the kind.
+func (k Kind) LogValue() slog.Value {
+	if k >= kindEnd || kindNames[k] == "" {
+		return slog.StringValue("invalid")
+	}
+	return slog.StringValue(kindNames[k])
+}
+
 // Flags of a frame.
 const (
 	// FlagOnce marks a request that may run at most once.
