--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -196,7 +196,9 @@
 			return
 		}
 		if err != nil {
-			continue // an ICMP error of an earlier send
+			// An ICMP error of an earlier send says nothing of callers' packets.
+			r.Log.Warn("datagram not read", "err", err)
+			continue
 		}
 		if n == beaconSize && from == r.Data {
 			r.returned(in[:n])
@@ -232,6 +234,7 @@
 	if err := r.Codec.Decode(raw, p); err != nil {
 		r.Counts.Malformed.Add(1)
 		r.Steer.Stats.Dropped.Add(wire.ReasonMalformed)
+		r.Log.Info("datagram dropped", "bytes", len(raw), "reason", wire.ReasonMalformed, "err", err)
 		return out
 	}
 	now := r.Clock()
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -11,6 +12,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -22,8 +24,10 @@
 
 	"ebonypaddle/pkg/admin"
 	"ebonypaddle/pkg/feed"
+	"ebonypaddle/pkg/stats"
 	"ebonypaddle/pkg/steer"
 	"ebonypaddle/pkg/store"
+	"ebonypaddle/pkg/wire"
 )
 
 // shelf plays the store. It holds the same facts for all instances.
@@ -346,6 +350,28 @@
 	soon(t, "the connection is closed", func() bool { return open.Load() == 0 })
 }
 
+// Guards against a flood of malformed datagrams that stops the packets between
+// them, or leaves no line.
+func TestMalformed(t *testing.T) {
+	var lines bytes.Buffer
+	r := &Relay{
+		Codec: strict{}, Clock: time.Now, Log: slog.New(slog.NewTextHandler(&lines, nil)),
+		Steer: &steer.Steer{Domain: "a", Stats: &stats.Counters{}},
+	}
+	r.Steer.Start(time.Now())
+	for range 3 {
+		r.handle([]byte("odd"), nil)
+	}
+	assert.Equal(t, r.Counts.Malformed.Load(), uint64(3))
+	assert.Equal(t, r.Steer.Stats.Dropped.Get(wire.ReasonMalformed), uint64(3))
+	assert.Equal(t, strings.Count(lines.String(), "datagram dropped"), 3)
+}
+
+// strict takes no datagram.
+type strict struct{ codec }
+
+func (strict) Decode([]byte, *steer.Packet) error { return errDown }
+
 // Guards against counters that cannot be published as JSON.
 func TestVars(t *testing.T) {
 	i := start(t, newShelf(), "only", 1)
