core: no allocation for a packet of an open flow

Cause: the lines of drops took the packet by its pointer, so that every packet that passes the guard was moved to the heap.

Change: lines take the text of the flow, made only where a line is written.

--- a/pkg/core/caller.go
+++ b/pkg/core/caller.go
@@ -52,7 +52,7 @@
 	if p.Frame.Kind == wire.KindRequest {
 		c.Log.Info("request refused", "request", p.Frame.ID, "caller", p.Caller, "service", p.Service, "outcome", wire.OutcomeUnknown, "reason", why, "rev", c.rev())
 	} else {
-		c.Log.Info("flow refused", "flow", p, "reason", why, "rev", c.rev())
+		c.Log.Info("flow refused", "flow", p.LogValue(), "reason", why, "rev", c.rev())
 	}
 	f := wire.Frame{Kind: wire.KindRefusal, Flow: p.Frame.Flow, ID: p.Frame.ID, Reason: why}
 	if p.Frame.Kind == wire.KindRequest {
@@ -95,7 +95,7 @@
 		c.refuse(p, why)
 		return
 	}
-	c.Log.Info("flow placed", "flow", p, "server", ch.Server, "domain", c.addrs[ch.Server].domain, "cold", ch.Cold, "freshFor", ask.CrossUntil.Sub(now), "rev", c.rev())
+	c.Log.Info("flow placed", "flow", p.LogValue(), "server", ch.Server, "domain", c.addrs[ch.Server].domain, "cold", ch.Cold, "freshFor", ask.CrossUntil.Sub(now), "rev", c.rev())
 	c.toServer(p, ch.Addr, ch.Server, ch.Generation, ch.Deadline, ch.Expires)
 }
 
@@ -169,7 +169,7 @@
 			return
 		}
 		c.Stats.Closed.Add(why)
-		c.Log.Info("flow closed", "flow", p, "reason", why, "rev", c.rev())
+		c.Log.Info("flow closed", "flow", p.LogValue(), "reason", why, "rev", c.rev())
 		c.toCaller(p, wire.Frame{Kind: wire.KindClosed, Flow: p.Frame.Flow, Reason: why})
 	default:
 		c.drop(p, why)
--- a/pkg/core/core.go
+++ b/pkg/core/core.go
@@ -141,7 +141,7 @@
 func (c *Core) drop(p *wire.Packet, why wire.Reason) {
 	c.Stats.Dropped.Add(why)
 	f := &p.Frame
-	c.Log.Info("packet dropped", "flow", p, "request", f.ID, "kind", f.Kind, "server", f.Server, "reason", why, "rev", c.rev())
+	c.Log.Info("packet dropped", "flow", p.LogValue(), "request", f.ID, "kind", f.Kind, "server", f.Server, "reason", why, "rev", c.rev())
 }
 
 // rev returns the revision of the settings in force, 0 without any.
