wait: one interruptible pause for all shells

When a stop is over is a function of times with a test of its own, so that no shell sleeps on the wall clock between decisions.

--- a/ebonyctl/cmd/ebonyctl/main.go
+++ b/ebonyctl/cmd/ebonyctl/main.go
@@ -14,6 +14,7 @@
 
 	"ebonypaddle/ebonyctl/client"
 	"ebonypaddle/ebonyctl/verbs"
+	"ebonypaddle/pkg/wait"
 )
 
 // callTime bounds one call of the object API.
@@ -28,9 +29,9 @@
 		Out: os.Stdout, Err: os.Stderr,
 		Rand:  rnd,
 		Now:   time.Now,
-		Pause: pause,
+		Pause: wait.For,
 		DialObjects: func(base []string) (client.Objects, error) {
-			return client.Dial(base, &http.Client{}, rnd, pause), nil
+			return client.Dial(base, &http.Client{}, rnd, wait.For), nil
 		},
 		DialInstances: dialInstances,
 	}
@@ -39,17 +40,6 @@
 	os.Exit(code)
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
-
 // dialInstances returns a client of the instances' admin service. The key is
 // the operator key in base64, as in the process settings.
 func dialInstances(addrs []string, key string) (client.Instances, error) {
--- a/ebonyd/cmd/ebonyd/main.go
+++ b/ebonyd/cmd/ebonyd/main.go
@@ -24,6 +24,7 @@
 	"ebonypaddle/pkg/logs"
 	"ebonypaddle/pkg/stats"
 	"ebonypaddle/pkg/store"
+	"ebonypaddle/pkg/wait"
 )
 
 // Times of calls to the object API. A call that waits longer than storeTime
@@ -122,7 +123,7 @@
 
 func client(p *conf.Process, seed uint64) *store.Client {
 	c := &store.Client{
-		HTTP: &http.Client{}, Rand: rand.New(rand.NewPCG(seed, 1)), Sleep: sleep,
+		HTTP: &http.Client{}, Rand: rand.New(rand.NewPCG(seed, 1)), Sleep: wait.For,
 		Timeout: storeTime, Tries: storeTries, Backoff: storeBackoff, MaxBackoff: storeMaxWait,
 	}
 	for _, a := range p.ObjectAPI {
@@ -131,15 +132,6 @@
 	return c
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(d):
-		return nil
-	}
-}
-
 // publish makes the counters readable under /debug/vars. expvar is global, so
 // only a program's main publishes.
 func publish(d *daemon.Daemon) {
--- a/emul/caller/load.go
+++ b/emul/caller/load.go
@@ -11,6 +11,7 @@
 
 	"ebonypaddle/emul/body"
 	"ebonypaddle/emul/server"
+	"ebonypaddle/pkg/wait"
 )
 
 // Load is a run of flows and requests. The fields are set before Run.
@@ -74,7 +75,7 @@
 	for _, c := range l.Callers {
 		c.Close()
 	}
-	l.sleep(ctx, l.Settle)
+	wait.Pause(ctx, l.Settle)
 	cancel()
 	readers.Wait()
 	l.countFlows()
@@ -86,15 +87,6 @@
 	return l.rep, nil
 }
 
-func (l *Load) sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // runFlows opens the flows of a caller and keeps them alive until timed ends.
 // Flows that are open get keepalives while others still try to open, because
 // they would count as stalled otherwise.
@@ -131,7 +123,7 @@
 		if err != nil || l.FlowLife <= 0 {
 			return
 		}
-		l.sleep(timed, life)
+		wait.Pause(timed, life)
 		life = l.FlowLife
 		if timed.Err() == nil {
 			c.CloseFlow(fl)
@@ -147,7 +139,7 @@
 		if err == nil || try >= l.OpenTries {
 			return fl, try, err
 		}
-		l.sleep(timed, l.OpenPause)
+		wait.Pause(timed, l.OpenPause)
 		if timed.Err() != nil {
 			return nil, try, err
 		}
--- a/emul/cmd/ebonyemu/judge.go
+++ b/emul/cmd/ebonyemu/judge.go
@@ -16,6 +16,7 @@
 	"ebonypaddle/emul/caller"
 	"ebonypaddle/emul/judge"
 	"ebonypaddle/pkg/conf"
+	"ebonypaddle/pkg/wait"
 )
 
 // pageTime bounds the reading of one page.
@@ -98,7 +99,7 @@
 					if err == nil && flows == 0 && requests == 0 {
 						break
 					}
-					if sleep(ctx, emptyPause) != nil {
+					if wait.For(ctx, emptyPause) != nil {
 						return fmt.Errorf("server %s still has %d flows and %d requests (%w)", id, flows, requests, errors.Join(err, ctx.Err()))
 					}
 				}
--- a/emul/cmd/ebonyemu/main.go
+++ b/emul/cmd/ebonyemu/main.go
@@ -82,14 +82,3 @@
 	}
 	return err
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/emul/cmd/ebonyemu/stands.go
+++ b/emul/cmd/ebonyemu/stands.go
@@ -15,6 +15,7 @@
 	"ebonypaddle/emul/object"
 	"ebonypaddle/emul/server"
 	"ebonypaddle/pkg/store"
+	"ebonypaddle/pkg/wait"
 )
 
 func objectCommand() *cli.Command {
@@ -79,7 +80,7 @@
 	}
 	if urls := cmd.StringSlice("object-api"); len(urls) > 0 {
 		c := &store.Client{
-			Addrs: urls, HTTP: http.DefaultClient, Rand: newRand(cmd, 2), Sleep: sleep,
+			Addrs: urls, HTTP: http.DefaultClient, Rand: newRand(cmd, 2), Sleep: wait.For,
 			Timeout: time.Second, Tries: 2, Backoff: 100 * time.Millisecond, MaxBackoff: time.Second,
 		}
 		f.List = func(ctx context.Context) ([]netip.AddrPort, error) { return object.Live(ctx, c) }
--- a/emul/object/server.go
+++ b/emul/object/server.go
@@ -10,6 +10,7 @@
 
 	"ebonypaddle/pkg/conf"
 	"ebonypaddle/pkg/store"
+	"ebonypaddle/pkg/wait"
 )
 
 // Bounds of the stand-in.
@@ -101,7 +102,7 @@
 		f := s.fault
 		s.count(r)
 		s.mu.Unlock()
-		if !wait(r, time.Duration(f.Slow)) {
+		if f.Slow > 0 && wait.For(r.Context(), time.Duration(f.Slow)) != nil {
 			return
 		}
 		if f.Down {
@@ -123,21 +124,6 @@
 	}
 }
 
-// wait returns false when the caller left first.
-func wait(r *http.Request, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-r.Context().Done():
-		return false
-	}
-}
-
 func (s *Server) setFault(w http.ResponseWriter, r *http.Request) {
 	var f Fault
 	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
--- a/pkg/daemon/announce.go
+++ b/pkg/daemon/announce.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"ebonypaddle/pkg/store"
+	"ebonypaddle/pkg/wait"
 )
 
 // States of an entry in the platform's instance list.
@@ -41,7 +42,7 @@
 // run returns when the write succeeded or ctx ended.
 func (a *announcer) run(ctx context.Context) {
 	a.sleep(ctx, time.Duration(a.rand.Int64N(int64(announceJitter))))
-	for wait := announceWait; ctx.Err() == nil; wait = min(2*wait, announceMaxWait) {
+	for next := announceWait; ctx.Err() == nil; next = min(2*next, announceMaxWait) {
 		err := a.write(ctx)
 		if err == nil {
 			return
@@ -49,7 +50,7 @@
 		if ctx.Err() == nil {
 			a.failed(err)
 		}
-		a.sleep(ctx, wait/2+time.Duration(a.rand.Int64N(int64(wait/2))))
+		a.sleep(ctx, next/2+time.Duration(a.rand.Int64N(int64(next/2))))
 	}
 }
 
@@ -62,7 +63,7 @@
 	logged := false
 	a := &announcer{
 		write: func(ctx context.Context) error { return d.announceOnce(ctx, stateLive) },
-		sleep: d.sleep, rand: rand.New(rand.NewPCG(d.Seed, 3)),
+		sleep: wait.Pause, rand: rand.New(rand.NewPCG(d.Seed, 3)),
 		failed: func(err error) {
 			d.Counters.AnnounceErrors.Add(1)
 			if !logged {
--- a/pkg/daemon/leave.go
+++ b/pkg/daemon/leave.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"ebonypaddle/pkg/wait"
 )
 
 const (
@@ -44,7 +46,7 @@
 			d.log.Info("left", "after", d.Clock().Sub(began).Round(time.Millisecond))
 			return
 		}
-		d.sleep(ctx, pause)
+		wait.Pause(ctx, pause)
 	}
 	d.log.Warn("left with work in progress", "after", maxLeave)
 }
--- a/pkg/daemon/reader.go
+++ b/pkg/daemon/reader.go
@@ -13,6 +13,7 @@
 	"ebonypaddle/pkg/conf"
 	"ebonypaddle/pkg/dist"
 	"ebonypaddle/pkg/store"
+	"ebonypaddle/pkg/wait"
 )
 
 const (
@@ -50,30 +51,21 @@
 			d.readOnce(ctx)
 			continue
 		}
-		d.sleep(ctx, pause)
+		wait.Pause(ctx, pause)
 	}
 }
 
 // startSettings asks peers first, so that a restart of all instances does not
 // load the platform, then the platform until there are settings.
 func (d *Daemon) startSettings(ctx context.Context, rnd *rand.Rand) {
-	d.sleep(ctx, time.Duration(rnd.Int64N(int64(startJitter))))
+	wait.Pause(ctx, time.Duration(rnd.Int64N(int64(startJitter))))
 	for _, a := range d.Process.Peers {
 		if a != d.Process.Admin {
 			d.pull(ctx, a)
 		}
 	}
 	if d.rev() == 0 {
-		d.sleep(ctx, time.Duration(rnd.Int64N(int64(readJitter))))
-	}
-}
-
-func (d *Daemon) sleep(ctx context.Context, t time.Duration) {
-	tm := time.NewTimer(t)
-	defer tm.Stop()
-	select {
-	case <-ctx.Done():
-	case <-tm.C:
+		wait.Pause(ctx, time.Duration(rnd.Int64N(int64(readJitter))))
 	}
 }
 
@@ -115,7 +107,7 @@
 
 func (d *Daemon) pullFrom(ctx context.Context, a netip.AddrPort) {
 	if !d.pull(ctx, a) {
-		d.sleep(ctx, pause)
+		wait.Pause(ctx, pause)
 	}
 }
 
@@ -167,7 +159,7 @@
 	d.noteStore(err)
 	if err != nil {
 		d.Counters.ReadErrors.Add(1)
-		d.sleep(ctx, errorPause)
+		wait.Pause(ctx, errorPause)
 	}
 }
 
--- a/pkg/relay/peer.go
+++ b/pkg/relay/peer.go
@@ -15,6 +15,7 @@
 
 	"ebonypaddle/pkg/admin"
 	"ebonypaddle/pkg/feed"
+	"ebonypaddle/pkg/wait"
 )
 
 const (
@@ -203,7 +204,7 @@
 		}
 		if level > 0 {
 			r.exchange(ctx, a, parent, r.Duty.ConfirmEvery()+askSpare)
-			sleep(ctx, askPause)
+			wait.Pause(ctx, askPause)
 			continue
 		}
 		r.fmu.Lock()
@@ -215,9 +216,9 @@
 			r.meet(ctx, a)
 		}
 		if confirmed.IsZero() || now.Sub(confirmed) > r.Duty.StaleAfter() {
-			sleep(ctx, searchEvery)
+			wait.Pause(ctx, searchEvery)
 		} else {
-			sleep(ctx, meetEvery)
+			wait.Pause(ctx, meetEvery)
 		}
 	}
 }
--- a/pkg/relay/probe.go
+++ b/pkg/relay/probe.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"ebonypaddle/pkg/steer"
+	"ebonypaddle/pkg/wait"
 )
 
 const (
@@ -21,7 +22,7 @@
 func (r *Relay) probe(ctx context.Context) {
 	var ps []steer.Probe
 	for ctx.Err() == nil {
-		sleep(ctx, probeEvery)
+		wait.Pause(ctx, probeEvery)
 		r.mu.Lock()
 		ps = r.Steer.Probes(ps[:0])
 		r.mu.Unlock()
--- a/pkg/relay/reader.go
+++ b/pkg/relay/reader.go
@@ -8,6 +8,7 @@
 	"ebonypaddle/pkg/feed"
 	"ebonypaddle/pkg/steer"
 	"ebonypaddle/pkg/store"
+	"ebonypaddle/pkg/wait"
 )
 
 const (
@@ -61,7 +62,7 @@
 			r.wake()
 		}
 		r.fmu.Unlock()
-		sleep(ctx, dutyEvery)
+		wait.Pause(ctx, dutyEvery)
 	}
 }
 
@@ -115,7 +116,7 @@
 		}
 		r.take(at, d)
 		if len(d.Facts) > 0 && !d.Full {
-			sleep(ctx, gather)
+			wait.Pause(ctx, gather)
 		}
 	}
 }
@@ -155,7 +156,7 @@
 		l.r.Log.Warn("store lost", "kind", l.kind, "rev", rev, "err", err)
 	}
 	l.wait = min(max(2*l.wait, retryFirst), retryLongest)
-	sleep(ctx, l.wait)
+	wait.Pause(ctx, l.wait)
 }
 
 func (l *link) regained(rev uint64) {
@@ -229,12 +230,3 @@
 	}
 	return apply
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -19,6 +19,7 @@
 
 	"ebonypaddle/pkg/feed"
 	"ebonypaddle/pkg/steer"
+	"ebonypaddle/pkg/wait"
 	"ebonypaddle/pkg/wire"
 )
 
@@ -152,7 +153,7 @@
 		wg.Go(func() { r.read(run, k) })
 	}
 	<-ctx.Done()
-	r.leave()
+	r.leave(run)
 	cancel()
 	_ = conn.Close()
 	err = errors.Join(ready.Close(), peers.Close(), metrics.Close())
@@ -169,8 +170,14 @@
 	}
 }
 
+// over reports whether a stopping instance may end, a time after it began to stop
+// and a time after its latest packet.
+func (t *Times) over(stopping, quiet time.Duration) bool {
+	return stopping >= t.Leave || stopping >= t.LeaveAtLeast && quiet >= t.Quiet
+}
+
 // leave forwards packets until no more come.
-func (r *Relay) leave() {
+func (r *Relay) leave(ctx context.Context) {
 	r.leaving.Store(true)
 	r.fmu.Lock()
 	r.wake()
@@ -178,10 +185,9 @@
 	began := r.Clock()
 	r.Log.Info("stopping", "within", r.Times.Leave)
 	for {
-		time.Sleep(tickEvery)
+		wait.Pause(ctx, tickEvery)
 		now := r.Clock()
-		idle := now.UnixNano() - r.lastAt.Load()
-		if now.Sub(began) >= r.Times.Leave || now.Sub(began) >= r.Times.LeaveAtLeast && idle >= int64(r.Times.Quiet) {
+		if r.Times.over(now.Sub(began), time.Duration(now.UnixNano()-r.lastAt.Load())) {
 			return
 		}
 	}
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -323,6 +323,24 @@
 	soon(t, "the packet is answered", func() bool { return i.Counts.Out.Load() == 1 })
 }
 
+// Guards against a stop that ends before routers have noticed it, or goes on
+// longer than the platform allows.
+func TestStopIsOver(t *testing.T) {
+	w := Times{Leave: 5 * time.Second, LeaveAtLeast: time.Second, Quiet: 300 * time.Millisecond}
+	for _, tc := range []struct {
+		stopping, quiet time.Duration
+		want            bool
+	}{
+		{900 * time.Millisecond, time.Minute, false},
+		{time.Second, 299 * time.Millisecond, false},
+		{time.Second, 300 * time.Millisecond, true},
+		{4999 * time.Millisecond, 0, false},
+		{5 * time.Second, 0, true},
+	} {
+		assert.Equal(t, w.over(tc.stopping, tc.quiet), tc.want, "%+v", tc)
+	}
+}
+
 // Guards against connections that every instance which ever started leaves at a
 // seed.
 func TestIdleConnectionsClose(t *testing.T) {
