--- a/pkg/calls/table.go
+++ b/pkg/calls/table.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"ebonypaddle/pkg/conf"
+	"ebonypaddle/pkg/logs"
 	"ebonypaddle/pkg/stats"
 	"ebonypaddle/pkg/token"
 	"ebonypaddle/pkg/wire"
@@ -187,9 +188,7 @@
 		t.attempts = map[attemptKey]*call{}
 		t.relays = map[uint64]*relay{}
 		t.relaySeq = t.Rand.Uint64()
-		if t.Log == nil {
-			t.Log = slog.New(slog.DiscardHandler)
-		}
+		t.Log = logs.Or(t.Log)
 	}
 }
 
--- a/pkg/core/core.go
+++ b/pkg/core/core.go
@@ -15,6 +15,7 @@
 	"ebonypaddle/pkg/conf"
 	"ebonypaddle/pkg/dist"
 	"ebonypaddle/pkg/flow"
+	"ebonypaddle/pkg/logs"
 	"ebonypaddle/pkg/member"
 	"ebonypaddle/pkg/pick"
 	"ebonypaddle/pkg/retry"
@@ -105,9 +106,7 @@
 	if c.Stats == nil {
 		c.Stats = &stats.Counters{}
 	}
-	if c.Log == nil {
-		c.Log = slog.New(slog.DiscardHandler)
-	}
+	c.Log = logs.Or(c.Log)
 	c.Router = &flow.Router{Self: c.Entry.Peer.String(), Box: c.box, Rand: c.rnd}
 	c.Servers = &server.Table{Rand: c.rnd, Log: c.Log}
 	c.Picker = &pick.Picker{Entry: c.Entry.Name, Domain: c.Domain, Servers: c.Servers, Rand: c.rnd}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -60,8 +60,8 @@
 	// seen is the platform's revision up to which this instance has watched.
 	// Only the settings loop uses it.
 	seen uint64
-	// lostAt is since when the object API does not answer this instance.
-	lostAt time.Time
+	// outage is used by the settings loop only.
+	outage store.Outage
 }
 
 // Run serves until ctx ends and then stops gracefully: it finishes requests in
--- a/pkg/daemon/reader.go
+++ b/pkg/daemon/reader.go
@@ -163,17 +163,16 @@
 	}
 }
 
-// noteStore logs when the object API is lost and regained. Only the settings
-// loop calls it.
+// noteStore logs when the object API is lost and regained.
 func (d *Daemon) noteStore(err error) {
-	now := d.Clock()
-	switch {
-	case err != nil && d.lostAt.IsZero():
-		d.lostAt = now
-		d.log.Warn("store lost", "rev", d.rev(), "err", err)
-	case err == nil && !d.lostAt.IsZero():
-		d.log.Info("store regained", "rev", d.rev(), "after", now.Sub(d.lostAt))
-		d.lostAt = time.Time{}
+	if err != nil {
+		if d.outage.Failed(d.Clock()) {
+			d.log.Warn("store lost", "rev", d.rev(), "err", err)
+		}
+		return
+	}
+	if lost, was := d.outage.Answered(d.Clock()); was {
+		d.log.Info("store regained", "rev", d.rev(), "after", lost)
 	}
 }
 
--- a/pkg/logs/logs.go
+++ b/pkg/logs/logs.go
@@ -19,6 +19,22 @@
 	Levels map[string]string
 }
 
+// Or returns l, or a logger that discards everything if l is nil.
+func Or(l *slog.Logger) *slog.Logger {
+	if l == nil {
+		return slog.New(slog.DiscardHandler)
+	}
+	return l
+}
+
+// Age is the time from t to now as lines show it, 0 when t is not set.
+func Age(now, t time.Time) time.Duration {
+	if t.IsZero() {
+		return 0
+	}
+	return now.Sub(t)
+}
+
 // levelOff is above every level in use.
 const levelOff = slog.Level(100)
 
@@ -38,7 +54,7 @@
 // as info; the validation of the process settings refuses it before.
 func (s *Switch) Logger(subsystem string) *slog.Logger {
 	if s == nil || s.Out == nil {
-		return slog.New(slog.DiscardHandler)
+		return Or(nil)
 	}
 	level := slog.LevelInfo
 	if name, ok := s.Levels[subsystem]; ok {
--- a/pkg/relay/reader.go
+++ b/pkg/relay/reader.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"ebonypaddle/pkg/feed"
+	"ebonypaddle/pkg/logs"
 	"ebonypaddle/pkg/steer"
 	"ebonypaddle/pkg/store"
 	"ebonypaddle/pkg/wait"
@@ -58,7 +59,7 @@
 		reads := r.Duty.Reads(now, r.peerAt, r.level)
 		if reads != r.reading {
 			r.reading = reads
-			r.Log.Info("reading of the store changed", "reads", reads, "level", r.level, "age", since(now, r.book.Confirmed()))
+			r.Log.Info("reading of the store changed", "reads", reads, "level", r.level, "age", logs.Age(now, r.book.Confirmed()))
 			r.wake()
 		}
 		r.fmu.Unlock()
@@ -66,14 +67,6 @@
 	}
 }
 
-// since is the time from t to now, or 0 for no time.
-func since(now, t time.Time) time.Duration {
-	if t.IsZero() {
-		return 0
-	}
-	return now.Sub(t)
-}
-
 // wake tells all who wait for news. The caller holds fmu.
 func (r *Relay) wake() {
 	close(r.news)
@@ -105,7 +98,6 @@
 			continue
 		}
 		l.regained(d.Rev)
-		l.begins = false
 		if !d.Full && len(d.Facts) == 0 {
 			// A watch without changes does not move the revision: one that
 			// the store kept from hearing would skip what it missed.
@@ -137,7 +129,7 @@
 	kind   feed.Kind
 	list   bool // the next call reads everything
 	begins bool // the instance did not read before
-	lostAt time.Time
+	outage store.Outage
 	wait   time.Duration
 	failed int // calls in a row
 }
@@ -151,8 +143,7 @@
 		return
 	}
 	l.failed++
-	if l.lostAt.IsZero() {
-		l.lostAt = l.r.Clock()
+	if l.outage.Failed(l.r.Clock()) {
 		l.r.Log.Warn("store lost", "kind", l.kind, "rev", rev, "err", err)
 	}
 	l.wait = min(max(2*l.wait, retryFirst), retryLongest)
@@ -160,10 +151,10 @@
 }
 
 func (l *link) regained(rev uint64) {
-	if !l.lostAt.IsZero() {
-		l.r.Log.Info("store regained", "kind", l.kind, "rev", rev, "after", l.r.Clock().Sub(l.lostAt))
+	if lost, was := l.outage.Answered(l.r.Clock()); was {
+		l.r.Log.Info("store regained", "kind", l.kind, "rev", rev, "after", lost)
 	}
-	l.lostAt, l.wait, l.list, l.failed = time.Time{}, 0, false, 0
+	l.wait, l.list, l.begins, l.failed = 0, false, false, 0
 }
 
 // take takes over facts of the store that were current at the time at.
--- a/pkg/server/table.go
+++ b/pkg/server/table.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"ebonypaddle/pkg/conf"
+	"ebonypaddle/pkg/logs"
 	"ebonypaddle/pkg/wire"
 )
 
@@ -77,9 +78,7 @@
 func (t *Table) Apply(now time.Time, s *conf.Snapshot) {
 	if t.rows == nil {
 		t.machine = newMachine()
-		if t.Log == nil {
-			t.Log = slog.New(slog.DiscardHandler)
-		}
+		t.Log = logs.Or(t.Log)
 		t.rows = map[conf.ServerID]*row{}
 	}
 	step, ok := conf.ServerStep(t.last, s)
--- a/pkg/steer/evidence.go
+++ b/pkg/steer/evidence.go
@@ -1,6 +1,10 @@
 package steer
 
-import "time"
+import (
+	"time"
+
+	"ebonypaddle/pkg/logs"
+)
 
 const (
 	// suspectMisses is the number of signs in a row, without an answer between
@@ -177,7 +181,7 @@
 	was := r.evidence.suspect(now)
 	r.evidence.missed(now, k)
 	if !was && r.evidence.suspect(now) {
-		s.Log.Info("server suspect", "server", r.name, "misses", r.evidence.misses, "answeredBefore", since(now, r.evidence.answeredAt), "for", r.evidence.wait, "rev", r.Rev)
+		s.Log.Info("server suspect", "server", r.name, "misses", r.evidence.misses, "answeredBefore", logs.Age(now, r.evidence.answeredAt), "for", r.evidence.wait, "rev", r.Rev)
 	}
 	d := s.domain(r.Domain)
 	d.evidence.missed(now, k)
@@ -187,14 +191,6 @@
 	}
 }
 
-// since is the time from t to now, or 0 for no time.
-func since(now, t time.Time) time.Duration {
-	if t.IsZero() {
-		return 0
-	}
-	return now.Sub(t)
-}
-
 // Lagged tells how long a packet, or another task of the process, waited for the
 // instance itself. While that is long, nothing shows that a server does not
 // answer.
--- a/pkg/steer/flow.go
+++ b/pkg/steer/flow.go
@@ -182,7 +182,7 @@
 		return
 	}
 	s.Copied++
-	f.server.load.unopened()
+	f.server.load.opened()
 	if !f.doubted {
 		s.missed(now, f.server, keyOf(p))
 	}
--- a/pkg/steer/load.go
+++ b/pkg/steer/load.go
@@ -10,19 +10,14 @@
 // packets of callers, and only its share of them.
 type load struct {
 	pick.Gauge
-	// openings are flows whose opening was forwarded and not yet answered,
-	// flows those that are open.
-	openings, flows int
+	// openings are flows whose opening was forwarded and not yet answered.
+	openings int
 }
 
 func (l *load) opening() { l.openings++ }
 
-func (l *load) unopened() { l.openings = max(l.openings-1, 0) }
-
-func (l *load) opened() {
-	l.unopened()
-	l.flows++
-}
+// opened takes the answer to an opening, or the end of the wait for it.
+func (l *load) opened() { l.openings = max(l.openings-1, 0) }
 
 // answered takes the end of a request in progress.
 func (l *load) answered(now time.Time, f *flow) {
@@ -34,10 +29,9 @@
 // finished takes the end of a flow.
 func (l *load) finished(f *flow) {
 	if !f.open {
-		l.unopened()
+		l.opened()
 		return
 	}
-	l.flows = max(l.flows-1, 0)
 	if !f.askedAt.IsZero() {
 		l.End()
 		f.askedAt = time.Time{}
--- a/pkg/steer/server.go
+++ b/pkg/steer/server.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"ebonypaddle/pkg/logs"
 )
 
 // server is the row of one backend server.
@@ -127,7 +129,7 @@
 	r.lapsedAt = now
 	s.lapsing++
 	r.lapsed = r.Leaving || !r.evidence.alive(now)
-	s.Log.Info("server removed from the store", "server", r.name, "service", r.Service, "leaving", r.Leaving, "newFlows", !r.lapsed, "answeredBefore", since(now, r.evidence.answeredAt), "rev", r.Rev)
+	s.Log.Info("server removed from the store", "server", r.name, "service", r.Service, "leaving", r.Leaving, "newFlows", !r.lapsed, "answeredBefore", logs.Age(now, r.evidence.answeredAt), "rev", r.Rev)
 }
 
 // dropServer ends all use of a server. Packets of its flows are refused.
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"ebonypaddle/pkg/logs"
 	"ebonypaddle/pkg/stats"
 	"ebonypaddle/pkg/wire"
 )
@@ -81,9 +82,7 @@
 // Start prepares the tables.
 func (s *Steer) Start(now time.Time) {
 	s.rnd = rand.New(rand.NewPCG(s.Seed, uint64(now.UnixNano())))
-	if s.Log == nil {
-		s.Log = slog.New(slog.DiscardHandler)
-	}
+	s.Log = logs.Or(s.Log)
 	if s.Stats == nil {
 		s.Stats = &stats.Counters{}
 	}
@@ -147,7 +146,7 @@
 	}
 	if r := s.byToken[p.Token]; r != nil && !p.Open {
 		as = append(as, "server", r.name, "rev", r.Rev, "misses", r.evidence.misses, "unacked", r.evidence.unacked)
-		as = append(as, "answeredBefore", since(now, r.evidence.answeredAt))
+		as = append(as, "answeredBefore", logs.Age(now, r.evidence.answeredAt))
 	}
 	s.Log.Info(msg, as...)
 }
