relay: a line for each datagram that is not sent; the ready path is the platform's

Refused sends were counted and their error swallowed, and the failed try of a failure domain was written at a level that the program leaves out. The path that the platform's routers ask stood in pkg/relay. TestSendFails fails without the line. The tests share the start of a store with its reader.

--- a/pkg/relay/probe.go
+++ b/pkg/relay/probe.go
@@ -42,7 +42,7 @@
 	var d net.Dialer
 	c, err := d.DialContext(ctx, "tcp4", p.Target.Addr.String())
 	if err != nil {
-		r.Log.Debug("failure domain not reached", "domain", p.Domain, "addr", p.Target.Addr, "err", err)
+		r.Log.Info("failure domain not reached", "domain", p.Domain, "addr", p.Target.Addr, "err", err)
 		return false
 	}
 	_ = c.Close()
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -64,11 +64,13 @@
 	// serves, Control takes calls of other instances, some of which are at
 	// Seeds.
 	Data, Ready, Control netip.AddrPort
-	Seeds                []netip.AddrPort
-	Codec                Codec
-	Store                Store
-	Decoder              Decoder
-	Duty                 feed.Duty
+	// ReadyPath is the path that routers ask at Ready.
+	ReadyPath string
+	Seeds     []netip.AddrPort
+	Codec     Codec
+	Store     Store
+	Decoder   Decoder
+	Duty      feed.Duty
 	// Seed makes random choices that need no secrecy.
 	Seed uint64
 	// MaxPacket is the largest packet in bytes.
@@ -224,6 +226,7 @@
 	b := binary.BigEndian.AppendUint64(nil, uint64(now.Sub(r.Duty.Began)))
 	if _, err := r.conn.WriteToUDPAddrPort(b, r.Data); err != nil {
 		r.Counts.SendErrors.Add(1)
+		r.Log.Warn("datagram not sent", "to", r.Data, "err", err)
 	}
 }
 
@@ -260,6 +263,7 @@
 	if _, err := r.conn.WriteToUDPAddrPort(out, to); err != nil {
 		r.Counts.SendErrors.Add(1)
 		r.Steer.Stats.Dropped.Add(wire.ReasonSendFailed)
+		r.Log.Warn("datagram not sent", "flow", p.LogValue(), "to", to, "err", err)
 		return out
 	}
 	r.Counts.Out.Add(1)
@@ -298,16 +302,14 @@
 	}
 }
 
-// readyPath answers 200 while the instance serves.
-const readyPath = "/v1/ready"
-
+// serveReady answers 200 at ReadyPath while the instance serves.
 func (r *Relay) serveReady() (*http.Server, error) {
 	l, err := net.Listen("tcp4", r.Ready.String())
 	if err != nil {
 		return nil, fmt.Errorf("ready address: %w", err)
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+readyPath, r.ready)
+	mux.HandleFunc("GET "+r.ReadyPath, r.ready)
 	return r.serve(l, mux), nil
 }
 
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -156,6 +156,17 @@
 	return append(dst, "refused"...), p.Caller
 }
 
+// reading returns a store with settings, their version, and an instance that has
+// read them.
+func reading(t *testing.T) (*shelf, uint64, *instance) {
+	t.Helper()
+	s := newShelf()
+	v := s.change()
+	first := start(t, s, "first", 9)
+	soon(t, "the first has the settings", func() bool { return first.version() == v })
+	return s, v, first
+}
+
 // free returns a loopback address that nobody uses.
 func free(t *testing.T) netip.AddrPort {
 	t.Helper()
@@ -177,7 +188,7 @@
 func start(t *testing.T, s *shelf, name string, weight uint32, seeds ...netip.AddrPort) *instance {
 	t.Helper()
 	r := &Relay{
-		Name: name, Weight: weight, Data: free(t), Ready: free(t), Control: free(t), Seeds: seeds, Codec: codec{},
+		Name: name, Weight: weight, Data: free(t), Ready: free(t), Control: free(t), ReadyPath: "/ready", Seeds: seeds, Codec: codec{},
 		Store: view{s, name}, Decoder: decoder{}, MaxPacket: 1500, Clock: time.Now, Log: slog.New(slog.DiscardHandler),
 		Duty:  feed.Duty{Began: time.Now(), Bound: 3 * time.Second},
 		Times: Times{Leave: 2 * time.Second, LeaveAtLeast: 100 * time.Millisecond, Quiet: 50 * time.Millisecond},
@@ -219,10 +230,7 @@
 // Guards against instances that each read the store, and against changes that
 // reach only the one that does.
 func TestOneReadsForAll(t *testing.T) {
-	s := newShelf()
-	v := s.change()
-	first := start(t, s, "first", 9)
-	soon(t, "the first has the settings", func() bool { return first.version() == v })
+	s, v, first := reading(t)
 	second := start(t, s, "second", 5, first.Control)
 	third := start(t, s, "third", 1, first.Control)
 	all := []*instance{first, second, third}
@@ -246,10 +254,7 @@
 // Guards against instances that go on with old settings because the one that
 // read them ended.
 func TestReaderEnds(t *testing.T) {
-	s := newShelf()
-	v := s.change()
-	first := start(t, s, "first", 9)
-	soon(t, "the first has the settings", func() bool { return first.version() == v })
+	s, v, first := reading(t)
 	second := start(t, s, "second", 1, first.Control)
 	soon(t, "the second no longer reads", func() bool { return second.version() == v && !second.reads() })
 	first.stop()
@@ -260,10 +265,7 @@
 // Guards against the whole fleet reading the store when the reader is turned
 // away: the instances below a new reader wait only a moment for what it reads.
 func TestNewReaderConfirmsAtOnce(t *testing.T) {
-	s := newShelf()
-	v := s.change()
-	first := start(t, s, "first", 9)
-	soon(t, "the first has the settings", func() bool { return first.version() == v })
+	s, v, first := reading(t)
 	second := start(t, s, "second", 1, first.Control)
 	soon(t, "the second no longer reads", func() bool { return second.version() == v && !second.reads() })
 	time.Sleep(2 * second.Duty.ConfirmEvery()) // calls that were in progress end
@@ -285,10 +287,7 @@
 // Guards against an instance that cannot start while the store is away,
 // although others know everything.
 func TestStartsFromOthersWhileStoreIsAway(t *testing.T) {
-	s := newShelf()
-	v := s.change()
-	first := start(t, s, "first", 9)
-	soon(t, "the first has the settings", func() bool { return first.version() == v })
+	s, v, first := reading(t)
 	s.setDown(true)
 	second := start(t, s, "second", 1, first.Control)
 	soon(t, "the second has the settings", func() bool { return second.version() == v })
@@ -297,7 +296,7 @@
 
 func status(t *testing.T, i *instance) int {
 	t.Helper()
-	res, err := http.Get("http://" + i.Ready.String() + readyPath)
+	res, err := http.Get("http://" + i.Ready.String() + i.ReadyPath)
 	assert.NilError(t, err)
 	defer res.Body.Close()
 	return res.StatusCode
@@ -390,6 +389,17 @@
 
 func (strict) Decode([]byte, *steer.Packet) error { return errDown }
 
+// Guards against a packet that the system refuses to send without a line.
+func TestSendFails(t *testing.T) {
+	var lines bytes.Buffer
+	_, _, i := reading(t)
+	i.stop()
+	i.Log = slog.New(slog.NewTextHandler(&lines, nil))
+	i.handle([]byte("packet"), nil) // the socket is closed
+	assert.Equal(t, i.Counts.SendErrors.Load(), uint64(1))
+	assert.Assert(t, strings.Contains(lines.String(), `msg="datagram not sent" flow=127.0.0.1:9>127.0.0.1:8`), lines.String())
+}
+
 // Guards against counters that cannot be published as JSON.
 func TestVars(t *testing.T) {
 	i := start(t, newShelf(), "only", 1)
