judge, docs: two checks that could pass without evidence

The verdict on settings that go back passed when no instance told its revision; it now needs one. The check of reasons took names from every table of the page, so that a missing row of "timeout" hid behind the causes of the store's errors. Both were seen to fail: TestJudge/no revision known, and TestReasons without the rows of timeout and sendFailed.

--- a/emul/judge/judge.go
+++ b/emul/judge/judge.go
@@ -186,7 +186,7 @@
 
 // reverts checks that no process went back to older settings. A new process at
 // the place of an old one may begin lower, so places with events of processes
-// do not count.
+// do not count. At least one place must remain.
 func (r *Run) reverts() Check {
 	replaced := map[string]bool{}
 	for _, e := range r.Events {
@@ -198,14 +198,18 @@
 	var back []string
 	for _, s := range r.Samples {
 		for _, name := range slices.Sorted(maps.Keys(s.Instances)) {
-			rev := s.Instances[name].Settings["rev"]
-			if !replaced[name] && rev < highest[name] {
+			rev, ok := s.Instances[name].Settings["rev"]
+			if !ok || replaced[name] {
+				continue
+			}
+			if rev < highest[name] {
 				back = append(back, fmt.Sprintf("%s from %d to %d", name, highest[name], rev))
 			}
 			highest[name] = max(highest[name], rev)
 		}
 	}
-	return Check{10, "no process went back to older settings", len(back) == 0, fmt.Sprintf("%d of %d instances judged, %v", len(highest)-len(replaced), len(highest), back)}
+	ok := len(highest) > 0 && len(back) == 0
+	return Check{10, "no process went back to older settings", ok, fmt.Sprintf("%d instances judged, %v", len(highest), back)}
 }
 
 // settings checks how long each edit took to be in force everywhere.
--- a/emul/judge/judge_test.go
+++ b/emul/judge/judge_test.go
@@ -30,9 +30,10 @@
 func sample(sec float64, sent uint64) judge.Sample {
 	return judge.Sample{
 		At: at(sec),
-		Instances: map[string]judge.Vars{"a-1": {
-			Refused: map[string]uint64{"coldLimit": sent / 100}, Control: map[string]uint64{"peerBytesOut": sent, "peerBytesIn": 2 * sent},
-		}},
+		Instances: map[string]judge.Vars{
+			"a-1": {Refused: map[string]uint64{"coldLimit": sent / 100}, Control: map[string]uint64{"peerBytesOut": sent, "peerBytesIn": 2 * sent}},
+			"b-1": {Settings: map[string]uint64{"rev": 7}},
+		},
 		Servers: []judge.Server{{ID: 1, Runs: 100, Flows: 3}, {ID: 2, Runs: 60, LastPacket: at(21)}},
 	}
 }
@@ -115,6 +116,11 @@
 				r.Samples[i].Instances["b-1"] = judge.Vars{Settings: map[string]uint64{"rev": rev}}
 			}
 		}, []int{10}},
+		{"no revision known", func(r *judge.Run) {
+			for _, s := range r.Samples {
+				s.Instances["b-1"] = judge.Vars{}
+			}
+		}, []int{10}},
 		{"setting in force late", func(r *judge.Run) { r.Events[6].Args[2] = "4.1" }, []int{10}},
 		{"setting not in force", func(r *judge.Run) { r.Events[6].Args[1] = "5" }, []int{10}},
 	} {
--- a/pkg/docs/logs_test.go
+++ b/pkg/docs/logs_test.go
@@ -95,7 +95,9 @@
 
 // Guards against a reason without a line in the page.
 func TestReasons(t *testing.T) {
-	listed := rows(read(t, "docs/counters.md"))
+	_, reasons, _ := strings.Cut(read(t, "docs/counters.md"), "\n## Reasons\n")
+	reasons, _, _ = strings.Cut(reasons, "\n## ")
+	listed := rows(reasons)
 	for i := range wire.ReasonCount {
 		if r := wire.Reason(i); r != wire.ReasonNone {
 			assert.Check(t, slices.Contains(listed, r.String()), "docs/counters.md does not explain %q", r)
