--- a/pkg/logs/limit.go
+++ b/pkg/logs/limit.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// linesPerSecond is the budget of lines with the same message. With 20
-	// messages and 300 bytes a line it bounds the output to 120 KB/s.
+	// linesPerSecond is the budget of lines with the same message. With the 41
+	// messages of a program and 300 bytes a line it bounds the output to 250 KB/s.
 	linesPerSecond = 20
 	// lineBurst lets the lines of one event through, such as a list of
 	// servers after a restart.
