feed, relay, steer: names that say what a thing is

The cache of facts, the role of a reader, the calls to seeds and the times from which silence is judged and flows are closed had figurative names.

--- a/pkg/calls/state_test.go
+++ b/pkg/calls/state_test.go
@@ -213,6 +213,8 @@
 	}
 }
 
+// actions are the steps that rapid draws from. Skip means that a step does not
+// apply now; rapid then draws another one.
 func (w *world) actions(t *rapid.T) map[string]func(*rapid.T) {
 	n := func(name string, m int) int { return rapid.IntRange(0, m-1).Draw(t, name) }
 	someRequest := func() *request {
--- a/pkg/feed/book.go
+++ b/pkg/feed/cache.go
@@ -1,5 +1,5 @@
 // Package feed decides how instances share what one of them reads of the
-// platform's store: a book of facts with revisions, a tree over the members
+// platform's store: a cache of facts with revisions, a tree over the members
 // and the freshness that makes an instance read the store itself. Time and
 // messages come in; there are no sockets, goroutines or clocks.
 package feed
@@ -62,14 +62,14 @@
 	Facts []Fact
 }
 
-// Book holds the facts that an instance knows.
-type Book struct {
-	shelves [Kinds]shelf
+// Cache holds the facts that an instance knows.
+type Cache struct {
+	kinds [Kinds]kindCache
 	// origin is the instance that read the latest confirmation from the store.
 	origin string
 }
 
-type shelf struct {
+type kindCache struct {
 	rev   uint64
 	floor uint64 // deltas can be given from here on
 	facts map[string]entry
@@ -80,7 +80,7 @@
 	confirmed time.Time
 }
 
-// entry is a fact and the revision of the shelf at which it came.
+// entry is a fact and the revision of its kind at which it came.
 type entry struct {
 	Fact
 	at uint64
@@ -89,11 +89,11 @@
 // Take takes over facts that were current at the time at, and returns those
 // that are new here. An older delta, or one that does not start from a known
 // revision, changes nothing; ok tells that the facts are now at d.Rev or later.
-func (b *Book) Take(at time.Time, d Delta) (news Delta, ok bool) {
+func (b *Cache) Take(at time.Time, d Delta) (news Delta, ok bool) {
 	if d.Kind >= Kinds {
 		return Delta{}, false
 	}
-	s := &b.shelves[d.Kind]
+	s := &b.kinds[d.Kind]
 	if !d.Full && d.Since > s.rev || s.facts == nil && !d.Full {
 		return Delta{}, false
 	}
@@ -112,7 +112,7 @@
 	return news, true
 }
 
-func (s *shelf) merge(d Delta) []Fact {
+func (s *kindCache) merge(d Delta) []Fact {
 	if d.Full {
 		old := s.facts
 		s.facts = make(map[string]entry, len(d.Facts))
@@ -143,8 +143,8 @@
 
 // Since returns what an instance at a revision lacks of a kind. ok is false
 // when there is nothing to tell.
-func (b *Book) Since(k Kind, rev uint64) (d Delta, ok bool) {
-	s := &b.shelves[k]
+func (b *Cache) Since(k Kind, rev uint64) (d Delta, ok bool) {
+	s := &b.kinds[k]
 	if s.facts == nil || rev > s.rev {
 		return Delta{}, false
 	}
@@ -163,9 +163,9 @@
 
 // Trim forgets removed facts when there are many. Deltas from before then need
 // the full facts.
-func (b *Book) Trim() {
-	for k := range b.shelves {
-		s := &b.shelves[k]
+func (b *Cache) Trim() {
+	for k := range b.kinds {
+		s := &b.kinds[k]
 		tombs := 0
 		for _, e := range s.facts {
 			if e.Deleted {
@@ -185,27 +185,27 @@
 }
 
 // Revs returns the revisions of all kinds.
-func (b *Book) Revs() [Kinds]uint64 {
+func (b *Cache) Revs() [Kinds]uint64 {
 	var out [Kinds]uint64
-	for k := range b.shelves {
-		out[k] = b.shelves[k].rev
+	for k := range b.kinds {
+		out[k] = b.kinds[k].rev
 	}
 	return out
 }
 
 // Sums returns the checksums of the facts of all kinds.
-func (b *Book) Sums() [Kinds]uint64 {
+func (b *Cache) Sums() [Kinds]uint64 {
 	var out [Kinds]uint64
-	for k := range b.shelves {
-		out[k] = b.shelves[k].sum
+	for k := range b.kinds {
+		out[k] = b.kinds[k].sum
 	}
 	return out
 }
 
 // Complete reports whether facts of all kinds are known.
-func (b *Book) Complete() bool {
-	for k := range b.shelves {
-		if b.shelves[k].facts == nil {
+func (b *Cache) Complete() bool {
+	for k := range b.kinds {
+		if b.kinds[k].facts == nil {
 			return false
 		}
 	}
@@ -213,10 +213,10 @@
 }
 
 // Confirmed is the time at which the facts of all kinds were last current.
-func (b *Book) Confirmed() time.Time {
-	at := b.shelves[0].confirmed
-	for k := range b.shelves {
-		if c := b.shelves[k].confirmed; c.Before(at) {
+func (b *Cache) Confirmed() time.Time {
+	at := b.kinds[0].confirmed
+	for k := range b.kinds {
+		if c := b.kinds[k].confirmed; c.Before(at) {
 			at = c
 		}
 	}
@@ -224,14 +224,14 @@
 }
 
 // Confirm notes that a kind was current at a time.
-func (b *Book) Confirm(k Kind, at time.Time) {
-	if s := &b.shelves[k]; at.After(s.confirmed) {
+func (b *Cache) Confirm(k Kind, at time.Time) {
+	if s := &b.kinds[k]; at.After(s.confirmed) {
 		s.confirmed = at
 	}
 }
 
 // Origin names the instance that read the latest confirmation.
-func (b *Book) Origin() string { return b.origin }
+func (b *Cache) Origin() string { return b.origin }
 
 // SetOrigin notes who read the latest confirmation.
-func (b *Book) SetOrigin(name string) { b.origin = name }
+func (b *Cache) SetOrigin(name string) { b.origin = name }
--- a/pkg/feed/book_test.go
+++ b/pkg/feed/cache_test.go
@@ -16,9 +16,9 @@
 }
 
 // names returns the names of the facts of a kind that exist.
-func names(b *Book) map[string]uint64 {
+func names(b *Cache) map[string]uint64 {
 	out := map[string]uint64{}
-	for n, e := range b.shelves[Servers].facts {
+	for n, e := range b.kinds[Servers].facts {
 		if !e.Deleted {
 			out[n] = e.Rev
 		}
@@ -29,7 +29,7 @@
 // Guards against a second full reading of the same revision that tells the
 // consumer of an empty world: every server was removed and every flow reset.
 func TestSecondFullReadingIsNoNews(t *testing.T) {
-	var b Book
+	var b Cache
 	news, ok := b.Take(begin, full(7, fact("a", 3)))
 	assert.Assert(t, ok && news.Full && len(news.Facts) == 1)
 	news, ok = b.Take(begin, full(7, fact("a", 3)))
@@ -55,7 +55,7 @@
 		{"overlap", Delta{Kind: Servers, Since: 2, Rev: 8, Facts: []Fact{fact("a", 2), fact("b", 8)}}, true, map[string]uint64{"a": 3, "b": 8}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			var b Book
+			var b Cache
 			b.Take(begin, full(7, fact("a", 3)))
 			_, ok := b.Take(begin, tc.d)
 			assert.Equal(t, ok, tc.ok)
@@ -67,7 +67,7 @@
 // Guards against an instance that gets a delta although it cannot know of
 // removals before it.
 func TestSinceBeforeFullReadingIsFull(t *testing.T) {
-	var b Book
+	var b Cache
 	b.Take(begin, full(7, fact("a", 3)))
 	b.Take(begin, full(9, fact("b", 8)))
 	d, ok := b.Since(Servers, 8)
@@ -80,7 +80,7 @@
 // Guards against an instance that takes its own reading, told by another, for
 // a confirmation by the store.
 func TestOwnReadingDoesNotConfirmItself(t *testing.T) {
-	var reader, child Book
+	var reader, child Cache
 	reader.Take(begin, full(7, fact("a", 3)))
 	for k := range Kinds {
 		reader.Take(begin, Delta{Kind: k, Rev: 7, Full: true})
@@ -100,7 +100,7 @@
 // Guards against instances that read the same facts at different revisions and
 // then count each other as stale.
 func TestSameFactsAtOtherRevisionsConfirm(t *testing.T) {
-	var a, b Book
+	var a, b Cache
 	for k := range Kinds {
 		a.Take(begin, Delta{Kind: k, Rev: 7, Full: true, Facts: []Fact{fact("x", 3)}})
 		b.Take(begin, Delta{Kind: k, Rev: 9, Full: true, Facts: []Fact{fact("x", 3)}})
@@ -135,7 +135,7 @@
 // Guards against an instance that asks just after a confirmation was passed on
 // and hears of it only with the next one: it then read the store itself.
 func TestNews(t *testing.T) {
-	var b Book
+	var b Cache
 	for k := range Kinds {
 		b.Take(begin, Delta{Kind: k, Rev: 7, Full: true})
 	}
--- a/pkg/feed/message.go
+++ b/pkg/feed/message.go
@@ -31,7 +31,7 @@
 // Learn takes over an answer that came at now, for the instance self. It returns
 // what is new, and when the facts of both were last current; zero when they
 // differ or when self read them from the store.
-func (b *Book) Learn(now time.Time, self string, a *Answer) (news []Delta, current time.Time) {
+func (b *Cache) Learn(now time.Time, self string, a *Answer) (news []Delta, current time.Time) {
 	if a.Origin == "" {
 		return nil, time.Time{}
 	}
@@ -62,7 +62,7 @@
 
 // News reports whether an instance should hear of the facts now: it lacks some,
 // or its confirmation of them is older than the one here.
-func (b *Book) News(now time.Time, q *Question) bool {
+func (b *Cache) News(now time.Time, q *Question) bool {
 	for k, rev := range b.Revs() {
 		if rev > q.Have[k] {
 			return true
@@ -73,7 +73,7 @@
 }
 
 // Answer returns what an instance with the revisions have lacks.
-func (b *Book) Answer(now time.Time, have [Kinds]uint64) Answer {
+func (b *Cache) Answer(now time.Time, have [Kinds]uint64) Answer {
 	a := Answer{Origin: b.origin, Sums: b.Sums()}
 	for k := range Kinds {
 		if d, ok := b.Since(k, have[k]); ok && (d.Rev > have[k] || d.Full) {
--- a/pkg/feed/fresh.go
+++ b/pkg/feed/role.go
@@ -20,8 +20,8 @@
 	aloneFor = 1200 * time.Millisecond
 )
 
-// Duty decides whether an instance reads the store.
-type Duty struct {
+// Role decides whether an instance reads the store.
+type Role struct {
 	// Began is when the process started, First tells that the whole system
 	// starts for the first time.
 	Began time.Time
@@ -31,18 +31,18 @@
 }
 
 // ConfirmEvery is how long a reader waits for changes before it asks again.
-func (d *Duty) ConfirmEvery() time.Duration {
+func (d *Role) ConfirmEvery() time.Duration {
 	return time.Duration(confirmPart * float64(d.Bound))
 }
 
 // StaleAfter is the age of the facts at which an instance reads the store
 // itself.
-func (d *Duty) StaleAfter() time.Duration { return time.Duration(stalePart * float64(d.Bound)) }
+func (d *Role) StaleAfter() time.Duration { return time.Duration(stalePart * float64(d.Bound)) }
 
 // Reads reports whether the instance at a level of the tree reads the store,
 // when others last confirmed its facts at a time. An instance that starts again
 // reads at once: callers wait for it, and the others may have started with it.
-func (d *Duty) Reads(now, confirmed time.Time, level int) bool {
+func (d *Role) Reads(now, confirmed time.Time, level int) bool {
 	if confirmed.IsZero() {
 		wait := firstFor
 		if level == 0 {
--- a/pkg/feed/slope_test.go
+++ b/pkg/feed/slope_test.go
@@ -19,15 +19,15 @@
 	for _, n := range []int{88, 591} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			m := fleet(1, n, func(i, _ int) bool { return i == 0 })[0]
-			var book Book
+			var cache Cache
 			for k := range Kinds {
-				book.Take(begin, Delta{Kind: k, Rev: 1 << 40, Full: true})
+				cache.Take(begin, Delta{Kind: k, Rev: 1 << 40, Full: true})
 			}
-			book.SetOrigin("edge-some-domain-1")
+			cache.SetOrigin("edge-some-domain-1")
 			var asked, answered []byte
 			for b.Loop() {
-				q := Question{Members: m.Tell(begin), Have: book.Revs(), Age: 1200, Wait: 1500}
-				a := book.Answer(begin.Add(time.Second), q.Have)
+				q := Question{Members: m.Tell(begin), Have: cache.Revs(), Age: 1200, Wait: 1500}
+				a := cache.Answer(begin.Add(time.Second), q.Have)
 				a.Members = m.Tell(begin)
 				var err error
 				asked, err = cbor.Marshal(q)
@@ -61,15 +61,15 @@
 				// A record of a server has about 170 bytes.
 				d.Facts = append(d.Facts, Fact{Name: fmt.Sprintf("i-%010x", i), Rev: 1, Spec: make([]byte, 170)})
 			}
-			var book Book
-			book.Take(begin, d)
+			var cache Cache
+			cache.Take(begin, d)
 			d.Facts = nil
 			runtime.GC()
 			runtime.ReadMemStats(&after)
 			rev := uint64(1)
 			for b.Loop() {
 				rev++
-				book.Take(begin, Delta{Kind: Servers, Since: rev - 1, Rev: rev, Facts: []Fact{{Name: "i-0000000001", Rev: rev}}})
+				cache.Take(begin, Delta{Kind: Servers, Since: rev - 1, Rev: rev, Facts: []Fact{{Name: "i-0000000001", Rev: rev}}})
 			}
 			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "B/server")
 		})
--- a/pkg/relay/peer.go
+++ b/pkg/relay/peer.go
@@ -31,13 +31,13 @@
 	// askPause is the least time between two calls, in which changes come
 	// together.
 	askPause = 20 * time.Millisecond
-	// meetEvery is the interval at which the reader calls some member, so that
+	// memberEvery is the interval at which the reader calls some member, so that
 	// new ones hear of it, and searchEvery that of a search for facts.
-	meetEvery   = 2 * time.Second
+	memberEvery = 2 * time.Second
 	searchEvery = 300 * time.Millisecond
-	// settleTime is the longest wait for the store after a restart before
+	// storeFirst is the longest wait for the store after a restart before
 	// others are asked. The store answers in milliseconds.
-	settleTime = 300 * time.Millisecond
+	storeFirst = 300 * time.Millisecond
 	// maxMessage bounds a message in bytes.
 	maxMessage = 64 << 20
 	// keepIdle, keepTries: an idle connection that is silent is found dead
@@ -83,9 +83,9 @@
 			return feed.Answer{}, connect.NewError(connect.CodeUnavailable, errLeaving)
 		}
 		now := r.Clock()
-		if r.book.News(asked, &q) || ctx.Err() != nil {
-			a := r.book.Answer(now, q.Have)
-			r.carry(now, a.Deltas)
+		if r.cache.News(asked, &q) || ctx.Err() != nil {
+			a := r.cache.Answer(now, q.Have)
+			r.countSending(now, a.Deltas)
 			a.Members = r.members.Tell(now)
 			return a, nil
 		}
@@ -99,9 +99,9 @@
 	}
 }
 
-// carry counts facts that go out over the link. Callers' packets wait behind
+// countSending counts facts that go out over the link. Callers' packets wait behind
 // them, which says nothing of the servers. The caller holds fmu.
-func (r *Relay) carry(now time.Time, ds []feed.Delta) {
+func (r *Relay) countSending(now time.Time, ds []feed.Delta) {
 	if r.Link <= 0 || len(ds) == 0 {
 		return
 	}
@@ -146,9 +146,9 @@
 	return res.Msg, nil
 }
 
-// meet asks the seeds at once, so that this instance and others hear of each
+// callSeeds asks the seeds at once, so that this instance and others hear of each
 // other, and returns when all have answered.
-func (r *Relay) meet(ctx context.Context, a *asker) {
+func (r *Relay) callSeeds(ctx context.Context, a *asker) {
 	var wg sync.WaitGroup
 	for _, s := range r.Seeds {
 		if s != r.Control {
@@ -158,17 +158,17 @@
 	wg.Wait()
 }
 
-// settle waits for the facts of the store after a restart: serving callers
+// awaitFacts waits for the facts of the store after a restart: serving callers
 // comes before meeting other instances.
-func (r *Relay) settle(ctx context.Context) {
-	if r.Duty.First {
+func (r *Relay) awaitFacts(ctx context.Context) {
+	if r.Role.First {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, settleTime)
+	ctx, cancel := context.WithTimeout(ctx, storeFirst)
 	defer cancel()
 	for ctx.Err() == nil {
 		r.fmu.Lock()
-		done, news := r.book.Complete(), r.news
+		done, news := r.cache.Complete(), r.news
 		r.fmu.Unlock()
 		if done {
 			return
@@ -182,13 +182,13 @@
 
 // ask gets facts from the parent in the tree of instances.
 func (r *Relay) ask(ctx context.Context) {
-	r.settle(ctx)
+	r.awaitFacts(ctx)
 	a, err := newAsker()
 	if err != nil {
 		r.Log.Error("other instances cannot be asked", "err", err)
 		return
 	}
-	r.meet(ctx, a)
+	r.callSeeds(ctx, a)
 	var last netip.AddrPort
 	first := true
 	for ctx.Err() == nil {
@@ -196,14 +196,14 @@
 		r.fmu.Lock()
 		parent, level := r.members.Parent(now)
 		r.level = level
-		confirmed := r.book.Confirmed()
+		confirmed := r.cache.Confirmed()
 		r.fmu.Unlock()
 		if parent != last || first {
 			r.Log.Info("source of facts changed", "parent", parent, "level", level)
 			last, first = parent, false
 		}
 		if level > 0 {
-			r.exchange(ctx, a, parent, r.Duty.ConfirmEvery()+askSpare)
+			r.exchange(ctx, a, parent, r.Role.ConfirmEvery()+askSpare)
 			wait.Pause(ctx, askPause)
 			continue
 		}
@@ -213,12 +213,12 @@
 		if ok {
 			r.exchange(ctx, a, other, 0)
 		} else {
-			r.meet(ctx, a)
+			r.callSeeds(ctx, a)
 		}
-		if confirmed.IsZero() || now.Sub(confirmed) > r.Duty.StaleAfter() {
+		if confirmed.IsZero() || now.Sub(confirmed) > r.Role.StaleAfter() {
 			wait.Pause(ctx, searchEvery)
 		} else {
-			wait.Pause(ctx, meetEvery)
+			wait.Pause(ctx, memberEvery)
 		}
 	}
 }
@@ -235,7 +235,7 @@
 func (r *Relay) exchange(ctx context.Context, a *asker, to netip.AddrPort, wait time.Duration) {
 	now := r.Clock()
 	r.fmu.Lock()
-	q := feed.Question{Members: r.members.Tell(now), Have: r.book.Revs(), Age: millis(now, r.peerAt), Wait: uint32(wait / time.Millisecond)}
+	q := feed.Question{Members: r.members.Tell(now), Have: r.cache.Revs(), Age: millis(now, r.peerAt), Wait: uint32(wait / time.Millisecond)}
 	r.fmu.Unlock()
 	ans, err := a.ask(ctx, to, q)
 	now = r.Clock()
@@ -252,14 +252,14 @@
 	r.Counts.Asks.Add(1)
 	r.members.Heard(now, ans.Members)
 	r.members.Answered(now, to)
-	was := r.book.Confirmed()
-	news, current := r.book.Learn(now, r.Name, ans)
+	was := r.cache.Confirmed()
+	news, current := r.cache.Learn(now, r.Name, ans)
 	if current.After(r.peerAt) {
 		r.peerAt = current
 	}
 	if len(news) > 0 {
 		r.put(news)
-	} else if r.book.Confirmed().After(was) {
+	} else if r.cache.Confirmed().After(was) {
 		r.wake()
 	}
 }
--- a/pkg/relay/reader.go
+++ b/pkg/relay/reader.go
@@ -24,14 +24,14 @@
 	gather = 250 * time.Millisecond
 	// confirmWait is the wait of the first watch of an instance that begins to
 	// read. The instances below it read themselves unless it confirms their
-	// facts within a step of Duty.
+	// facts within a step of Role.
 	confirmWait = 20 * time.Millisecond
 	// retryFirst and retryLongest bound the wait after a failed call.
 	retryFirst   = 200 * time.Millisecond
 	retryLongest = time.Second
-	// dutyEvery is the interval at which an instance decides whether it reads
+	// roleEvery is the interval at which an instance decides whether it reads
 	// the store.
-	dutyEvery = 50 * time.Millisecond
+	roleEvery = 50 * time.Millisecond
 )
 
 // Store reads facts from the platform's store.
@@ -51,19 +51,19 @@
 	Domains(facts []feed.Fact) ([]steer.Change[steer.Out], []error)
 }
 
-// duty opens and closes the gate of the readers.
-func (r *Relay) duty(ctx context.Context) {
+// role decides at intervals whether this instance reads the store.
+func (r *Relay) role(ctx context.Context) {
 	for ctx.Err() == nil {
 		now := r.Clock()
 		r.fmu.Lock()
-		reads := r.Duty.Reads(now, r.peerAt, r.level)
+		reads := r.Role.Reads(now, r.peerAt, r.level)
 		if reads != r.reading {
 			r.reading = reads
-			r.Log.Info("reading of the store changed", "reads", reads, "level", r.level, "age", logs.Age(now, r.book.Confirmed()))
+			r.Log.Info("reading of the store changed", "reads", reads, "level", r.level, "age", logs.Age(now, r.cache.Confirmed()))
 			r.wake()
 		}
 		r.fmu.Unlock()
-		wait.Pause(ctx, dutyEvery)
+		wait.Pause(ctx, roleEvery)
 	}
 }
 
@@ -73,12 +73,12 @@
 	r.news = make(chan struct{})
 }
 
-// read reads one kind of facts from the store while this instance has the duty.
+// read reads one kind of facts from the store while this instance has the role.
 func (r *Relay) read(ctx context.Context, k feed.Kind) {
 	l := link{r: r, kind: k}
 	for ctx.Err() == nil {
 		r.fmu.Lock()
-		reads, news, rev := r.reading, r.news, r.book.Revs()[k]
+		reads, news, rev := r.reading, r.news, r.cache.Revs()[k]
 		r.fmu.Unlock()
 		if !reads {
 			l.begins = true
@@ -120,7 +120,7 @@
 	if l.begins {
 		return r.Store.Watch(ctx, k, rev, confirmWait)
 	}
-	return r.Store.Watch(ctx, k, rev, r.Duty.ConfirmEvery())
+	return r.Store.Watch(ctx, k, rev, r.Role.ConfirmEvery())
 }
 
 // link is the state of the calls for one kind.
@@ -161,12 +161,12 @@
 func (r *Relay) take(at time.Time, d feed.Delta) {
 	r.fmu.Lock()
 	defer r.fmu.Unlock()
-	news, ok := r.book.Take(at, d)
+	news, ok := r.cache.Take(at, d)
 	if !ok {
 		r.Log.Warn("facts of the store do not fit", "kind", d.Kind, "since", d.Since, "rev", d.Rev)
 		return
 	}
-	r.book.SetOrigin(r.Name)
+	r.cache.SetOrigin(r.Name)
 	r.put([]feed.Delta{news})
 }
 
@@ -185,13 +185,13 @@
 	for _, apply := range todo {
 		apply()
 	}
-	if r.book.Complete() {
+	if r.cache.Complete() {
 		r.Steer.Listed()
 	}
 	now := r.Clock()
 	r.Steer.Lagged(now, now.Sub(began))
 	r.mu.Unlock()
-	r.book.Trim()
+	r.cache.Trim()
 	r.wake()
 }
 
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -70,7 +70,7 @@
 	Codec     Codec
 	Store     Store
 	Decoder   Decoder
-	Duty      feed.Duty
+	Role      feed.Role
 	// Seed makes random choices that need no secrecy.
 	Seed uint64
 	// MaxPacket is the largest packet in bytes.
@@ -95,12 +95,12 @@
 
 	// fmu guards the exchange of facts. It is taken before mu.
 	fmu     sync.Mutex
-	book    feed.Book
+	cache   feed.Cache
 	members feed.Members
 	level   int           // in the tree of instances
 	reading bool          // this instance reads the store
 	peerAt  time.Time     // facts were last confirmed by another instance
-	news    chan struct{} // closed when facts or duties change
+	news    chan struct{} // closed when facts or the role change
 	sending time.Time     // when the link has carried the answers given so far
 }
 
@@ -149,7 +149,7 @@
 	wg.Go(r.forward)
 	wg.Go(func() { r.tick(run) })
 	wg.Go(func() { r.probe(run) })
-	wg.Go(func() { r.duty(run) })
+	wg.Go(func() { r.role(run) })
 	wg.Go(func() { r.ask(run) })
 	for k := range feed.Kinds {
 		wg.Go(func() { r.read(run, k) })
@@ -223,7 +223,7 @@
 // beacon sends a datagram to the own socket. It waits there like a packet, so its
 // return tells how far this instance is behind.
 func (r *Relay) beacon(now time.Time) {
-	b := binary.BigEndian.AppendUint64(nil, uint64(now.Sub(r.Duty.Began)))
+	b := binary.BigEndian.AppendUint64(nil, uint64(now.Sub(r.Role.Began)))
 	if _, err := r.conn.WriteToUDPAddrPort(b, r.Data); err != nil {
 		r.Counts.SendErrors.Add(1)
 		r.Log.Warn("datagram not sent", "to", r.Data, "err", err)
@@ -232,7 +232,7 @@
 
 func (r *Relay) returned(b []byte) {
 	now := r.Clock()
-	lag := now.Sub(r.Duty.Began) - time.Duration(binary.BigEndian.Uint64(b))
+	lag := now.Sub(r.Role.Began) - time.Duration(binary.BigEndian.Uint64(b))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.Steer.Lagged(now, lag)
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -30,8 +30,8 @@
 	"ebonypaddle/pkg/wire"
 )
 
-// shelf plays the store. It holds the same facts for all instances.
-type shelf struct {
+// fakeStore plays the store. It holds the same facts for all instances.
+type fakeStore struct {
 	mu      sync.Mutex
 	rev     uint64
 	version uint64
@@ -42,12 +42,12 @@
 	away    string // the instance that is turned away
 }
 
-func newShelf() *shelf {
-	return &shelf{rev: 1, news: make(chan struct{}), calls: map[string]int{}, waits: map[string][]time.Duration{}}
+func newFakeStore() *fakeStore {
+	return &fakeStore{rev: 1, news: make(chan struct{}), calls: map[string]int{}, waits: map[string][]time.Duration{}}
 }
 
 // change puts new settings in the store.
-func (s *shelf) change() uint64 {
+func (s *fakeStore) change() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.rev++
@@ -57,13 +57,13 @@
 	return s.version
 }
 
-func (s *shelf) setDown(down bool) {
+func (s *fakeStore) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.down = down
 }
 
-func (s *shelf) callsOf(name string) int {
+func (s *fakeStore) callsOf(name string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.calls[name]
@@ -73,7 +73,7 @@
 
 // view is the store as one instance sees it.
 type view struct {
-	s    *shelf
+	s    *fakeStore
 	name string
 }
 
@@ -88,7 +88,7 @@
 }
 
 // delta returns the facts of a kind after a revision. The caller holds mu.
-func (s *shelf) delta(k feed.Kind, since uint64) feed.Delta {
+func (s *fakeStore) delta(k feed.Kind, since uint64) feed.Delta {
 	d := feed.Delta{Kind: k, Since: since, Rev: s.rev, Full: since == 0}
 	if k == feed.Settings && s.version > since {
 		spec, err := feed.Pack(fmt.Append(nil, s.version))
@@ -158,9 +158,9 @@
 
 // reading returns a store with settings, their version, and an instance that has
 // read them.
-func reading(t *testing.T) (*shelf, uint64, *instance) {
+func reading(t *testing.T) (*fakeStore, uint64, *instance) {
 	t.Helper()
-	s := newShelf()
+	s := newFakeStore()
 	v := s.change()
 	first := start(t, s, "first", 9)
 	soon(t, "the first has the settings", func() bool { return first.version() == v })
@@ -185,12 +185,12 @@
 
 // start runs an instance until stop or the end of the test. Weight orders the
 // instances: the first reads the store.
-func start(t *testing.T, s *shelf, name string, weight uint32, seeds ...netip.AddrPort) *instance {
+func start(t *testing.T, s *fakeStore, name string, weight uint32, seeds ...netip.AddrPort) *instance {
 	t.Helper()
 	r := &Relay{
 		Name: name, Weight: weight, Data: free(t), Ready: free(t), Control: free(t), ReadyPath: "/ready", Seeds: seeds, Codec: codec{},
 		Store: view{s, name}, Decoder: decoder{}, MaxPacket: 1500, Clock: time.Now, Log: slog.New(slog.DiscardHandler),
-		Duty:  feed.Duty{Began: time.Now(), Bound: 3 * time.Second},
+		Role:  feed.Role{Began: time.Now(), Bound: 3 * time.Second},
 		Times: Times{Leave: 2 * time.Second, LeaveAtLeast: 100 * time.Millisecond, Quiet: 50 * time.Millisecond},
 		Steer: &steer.Steer{Domain: "a", Seed: uint64(weight)},
 	}
@@ -236,7 +236,7 @@
 	all := []*instance{first, second, third}
 	soon(t, "all have the settings", func() bool { return second.version() == v && third.version() == v })
 	soon(t, "others no longer read", func() bool { return !second.reads() && !third.reads() })
-	time.Sleep(2 * second.Duty.ConfirmEvery()) // calls that were in progress end
+	time.Sleep(2 * second.Role.ConfirmEvery()) // calls that were in progress end
 	before := [2]int{s.callsOf("second"), s.callsOf("third")}
 	v = s.change()
 	for _, i := range all {
@@ -268,7 +268,7 @@
 	s, v, first := reading(t)
 	second := start(t, s, "second", 1, first.Control)
 	soon(t, "the second no longer reads", func() bool { return second.version() == v && !second.reads() })
-	time.Sleep(2 * second.Duty.ConfirmEvery()) // calls that were in progress end
+	time.Sleep(2 * second.Role.ConfirmEvery()) // calls that were in progress end
 	s.mu.Lock()
 	s.away, s.waits = "first", map[string][]time.Duration{}
 	s.mu.Unlock()
@@ -278,7 +278,7 @@
 	}
 }
 
-func (s *shelf) waitsOf(name string) []time.Duration {
+func (s *fakeStore) waitsOf(name string) []time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return slices.Clone(s.waits[name])
@@ -305,7 +305,7 @@
 // Guards against routers that send flows to an instance that stops, and against
 // packets that it drops before they go elsewhere.
 func TestStopForwardsUntilQuiet(t *testing.T) {
-	s := newShelf()
+	s := newFakeStore()
 	v := s.change()
 	i := start(t, s, "only", 1)
 	i.Times.LeaveAtLeast = time.Second
@@ -402,7 +402,7 @@
 
 // Guards against counters that cannot be published as JSON.
 func TestVars(t *testing.T) {
-	i := start(t, newShelf(), "only", 1)
+	i := start(t, newFakeStore(), "only", 1)
 	b, err := json.Marshal(i.Vars())
 	assert.NilError(t, err)
 	for _, name := range []string{"reasons", "openTimeMs", "ageMs", "malformed"} {
@@ -428,11 +428,11 @@
 	now := time.Now()
 	r := &Relay{Link: 10e6, Clock: time.Now, Steer: &steer.Steer{Domain: "a"}}
 	r.Steer.Start(now)
-	r.carry(now, nil)
+	r.countSending(now, nil)
 	assert.Assert(t, r.sending.IsZero())
 	big := []feed.Delta{{Facts: []feed.Fact{{Spec: make([]byte, 50_000)}}}}
 	for i := range 3 {
-		r.carry(now, big)
+		r.countSending(now, big)
 		assert.Equal(t, r.sending.Sub(now), time.Duration(i+1)*40*time.Millisecond)
 	}
 }
--- a/pkg/steer/cold.go
+++ b/pkg/steer/cold.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// warmers is the number of instances that open flows at one cold server.
+	// coldOpeners is the number of instances that open flows at one cold server.
 	// Each may open one at any time, so what all open in a second exceeds the
 	// server's rate by at most as many.
-	warmers = 4
+	coldOpeners = 4
 	// coldSettle is how long after its start an instance opens no flows at
 	// cold servers with a rate: until then it may not know the others.
 	coldSettle = 4 * time.Second
@@ -25,14 +25,14 @@
 	s.self, s.peers = self, names
 }
 
-// warms reports whether this instance is one of those that open flows at a
+// opensCold reports whether this instance is one of those that open flows at a
 // server while it is cold: a few of the server's own failure domain. Instances
 // that know the same agree on who is.
-func (s *Steer) warms(r *server) bool {
+func (s *Steer) opensCold(r *server) bool {
 	if r.Domain != s.Domain {
 		return false
 	}
-	if len(s.peers) <= warmers {
+	if len(s.peers) <= coldOpeners {
 		return true
 	}
 	var id [8]byte
@@ -45,7 +45,7 @@
 			before++
 		}
 	}
-	return before < warmers
+	return before < coldOpeners
 }
 
 // coldRate returns the flows a second that a cold server bears; 0 when it is
@@ -62,13 +62,13 @@
 	if s.coldRate(now, r) <= 0 {
 		return false
 	}
-	return now.Before(r.coldNext) || now.Sub(s.began) < coldSettle || !s.warms(r)
+	return now.Before(r.coldNext) || now.Sub(s.began) < coldSettle || !s.opensCold(r)
 }
 
 // coldTake counts a flow that was placed at a server.
 func (s *Steer) coldTake(now time.Time, r *server) {
 	if rate := s.coldRate(now, r); rate > 0 {
-		share := min(warmers, max(len(s.peers), 1))
+		share := min(coldOpeners, max(len(s.peers), 1))
 		r.coldNext = now.Add(time.Duration(float64(share) / rate * float64(time.Second)))
 	}
 }
--- a/pkg/steer/evidence.go
+++ b/pkg/steer/evidence.go
@@ -51,9 +51,9 @@
 	// Behind a longer queue, copies of data come before the news that they
 	// were answered.
 	maxLag = 40 * time.Millisecond
-	// calmFor is how long after a pause or a lag no open flow is closed. The
+	// closePause is how long after a pause or a lag no open flow is closed. The
 	// signs from that time are too old then, see silentWithin.
-	calmFor = silentWithin
+	closePause = silentWithin
 )
 
 // evidence is what packets of callers tell of whether a server answers.
@@ -160,7 +160,7 @@
 
 // unacked notes that a caller repeated data of an open flow.
 func (s *Steer) unacked(now time.Time, r *server, k flowKey) {
-	if now.Before(s.trustAt) {
+	if now.Before(s.judgeFrom) {
 		return
 	}
 	e := &r.evidence
@@ -175,7 +175,7 @@
 // missed notes that a server did not answer a flow. After a pause of this
 // process nothing is noted.
 func (s *Steer) missed(now time.Time, r *server, k flowKey) {
-	if now.Before(s.trustAt) {
+	if now.Before(s.judgeFrom) {
 		return
 	}
 	was := r.evidence.suspect(now)
@@ -198,11 +198,11 @@
 	if lag <= maxLag {
 		return
 	}
-	if !now.Before(s.trustAt) {
+	if !now.Before(s.judgeFrom) {
 		s.Log.Warn("instance is behind, silence of servers is not judged", "lag", lag)
 	}
-	s.trustAt = now.Add(distrust + lag)
-	s.calmAt = s.trustAt.Add(calmFor)
+	s.judgeFrom = now.Add(distrust + lag)
+	s.closeFrom = s.judgeFrom.Add(closePause)
 	s.pending, s.due = s.pending[:0], 0
 }
 
@@ -216,8 +216,8 @@
 // their servers.
 func (s *Steer) enter(now time.Time) {
 	if gap := now.Sub(s.entered); gap > maxGap {
-		s.trustAt = now.Add(distrust)
-		s.calmAt = s.trustAt.Add(calmFor)
+		s.judgeFrom = now.Add(distrust)
+		s.closeFrom = s.judgeFrom.Add(closePause)
 		s.pending, s.due = s.pending[:0], 0
 	}
 	s.entered = now
--- a/pkg/steer/evidence_test.go
+++ b/pkg/steer/evidence_test.go
@@ -293,7 +293,7 @@
 	s := newSteer(record(1, "a"))
 	s.Lagged(begin, 100*time.Millisecond)
 	_, now := silence(t, s, 4, func() *caller { return call(s, 0, service) })
-	assert.Assert(t, now.Before(begin.Add(calmFor)))
+	assert.Assert(t, now.Before(begin.Add(closePause)))
 	for range 4 {
 		s.unacked(now.Add(time.Second), s.byName["s1"], flowKey{1})
 		s.unacked(now.Add(time.Second), s.byName["s1"], flowKey{2})
--- a/pkg/steer/flow.go
+++ b/pkg/steer/flow.go
@@ -140,7 +140,7 @@
 		// A flow that another instance opened may have been answered there,
 		// so it takes a sign of its own.
 		known := f.answered || f.repeats > 0
-		lost = rt != nil && rt.Repeatable && !now.Before(s.calmAt) && (known && r.evidence.silent(now) || r.evidence.mute(now, f.repeats))
+		lost = rt != nil && rt.Repeatable && !now.Before(s.closeFrom) && (known && r.evidence.silent(now) || r.evidence.mute(now, f.repeats))
 	}
 	if p.End || p.Reset {
 		s.flows.forget(p)
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -54,29 +54,29 @@
 	// AnswerTime that from a request to its answer.
 	OpenTime, AnswerTime stats.Latency
 
-	rnd      *rand.Rand
-	settings *Settings
-	routes   map[netip.AddrPort]*Route
-	services map[string]Service
-	out      map[string]time.Time // domains taken out, and since when
-	byName   map[string]*server
-	byToken  map[uint32]*server
-	pools    map[string]*pool
-	flows    flows
-	gone     tokenSet // tokens of servers that were dropped
-	unknown  map[uint32]time.Time
-	domains  map[string]*domain
-	pending  []pending // openings by time; those before due are done
-	due      int
-	self     string   // name of this instance
-	peers    []string // names of the live instances of the own domain
-	lapsing  int      // servers without a record that may come back
-	listed   bool
-	tickedAt time.Time
-	began    time.Time // start of the process
-	entered  time.Time // latest call
-	trustAt  time.Time // signs of silence count from then on
-	calmAt   time.Time // flows of silent servers are closed from then on
+	rnd       *rand.Rand
+	settings  *Settings
+	routes    map[netip.AddrPort]*Route
+	services  map[string]Service
+	out       map[string]time.Time // domains taken out, and since when
+	byName    map[string]*server
+	byToken   map[uint32]*server
+	pools     map[string]*pool
+	flows     flows
+	gone      tokenSet // tokens of servers that were dropped
+	unknown   map[uint32]time.Time
+	domains   map[string]*domain
+	pending   []pending // openings by time; those before due are done
+	due       int
+	self      string   // name of this instance
+	peers     []string // names of the live instances of the own domain
+	lapsing   int      // servers without a record that may come back
+	listed    bool
+	tickedAt  time.Time
+	began     time.Time // start of the process
+	entered   time.Time // latest call
+	judgeFrom time.Time // signs of silence count from then on
+	closeFrom time.Time // flows of silent servers are closed from then on
 }
 
 // Start prepares the tables.
