cache: error for unpacked content above the size limit

Cause: Unpack read up to 4 MB and returned what it had, so a larger object was decoded from its first part.

Change: one byte more is read, and content above the limit is a *SizeError.

--- a/pkg/cache/cache_test.go
+++ b/pkg/cache/cache_test.go
@@ -1,6 +1,7 @@
 package cache
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -133,6 +134,22 @@
 	assert.Assert(t, err != nil)
 }
 
+// Guards against content that is cut short without an error.
+func TestUnpackTooLarge(t *testing.T) {
+	for _, n := range []int{maxUnpackedSize, maxUnpackedSize + 1} {
+		packed, err := Pack(make([]byte, n))
+		assert.NilError(t, err)
+		got, err := Unpack(packed)
+		var tooLarge *SizeError
+		if n > maxUnpackedSize {
+			assert.Assert(t, errors.As(err, &tooLarge), "%v", err)
+			continue
+		}
+		assert.NilError(t, err)
+		assert.Equal(t, len(got), n)
+	}
+}
+
 // Guards against an instance that sends its request just after a confirmation
 // was passed on and gets only the next one: it then read the store itself.
 func TestNeedsUpdate(t *testing.T) {
--- a/pkg/cache/pack.go
+++ b/pkg/cache/pack.go
@@ -37,8 +37,15 @@
 	return out.Bytes(), nil
 }
 
+// SizeError reports content that is larger than the store's objects can be.
+type SizeError struct{ Max int } // bytes
+
+func (e *SizeError) Error() string {
+	return fmt.Sprintf("content is larger than %d bytes", e.Max)
+}
+
 // Unpack returns the content that Pack encoded. It fails on empty or corrupt
-// input. Compressed content is cut off after maxUnpackedSize.
+// input, and with a *SizeError on content of more than maxUnpackedSize bytes.
 func Unpack(b []byte) ([]byte, error) {
 	if len(b) == 0 {
 		return nil, io.ErrUnexpectedEOF
@@ -47,7 +54,10 @@
 		return b[1:], nil
 	}
 	r := flate.NewReader(bytes.NewReader(b[1:]))
-	out, err := io.ReadAll(io.LimitReader(r, maxUnpackedSize))
+	out, err := io.ReadAll(io.LimitReader(r, maxUnpackedSize+1))
+	if err == nil && len(out) > maxUnpackedSize {
+		err = &SizeError{maxUnpackedSize}
+	}
 	if err != nil {
 		return nil, fmt.Errorf("unpack %d bytes: %w", len(b), err)
 	}
