--- a/pkg/store/client.go
+++ b/pkg/store/client.go
@@ -29,6 +29,10 @@
 // which bounds the memory of one call.
 const maxResponse = 256 << 20
 
+// maxPreallocated bounds the buffer that is allocated for the stated length of a
+// response, in bytes. Pages are at most 1 MB.
+const maxPreallocated = 2 << 20
+
 // Object is one object of the platform.
 type Object struct {
 	Kind  string          `json:"kind"`
@@ -180,15 +184,26 @@
 		return transportError(err)
 	}
 	defer res.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(res.Body, maxResponse))
+	b, err := readBody(res)
 	if err != nil {
 		return transportError(err)
 	}
 	if err := statusError(req, res.StatusCode, b); err != nil {
 		return err
 	}
-	if err := json.Unmarshal(b, out); err != nil {
+	if err := Decode(b, out); err != nil {
 		return &UnavailableError{Cause: CauseMalformed, Err: err}
 	}
 	return nil
 }
+
+// readBody returns the content of a response, up to maxResponse bytes. Without
+// a buffer of the stated length, a page of objects would be copied ten times.
+func readBody(res *http.Response) ([]byte, error) {
+	var b bytes.Buffer
+	if n := res.ContentLength; n > 0 {
+		b.Grow(int(min(n, maxPreallocated)) + bytes.MinRead)
+	}
+	_, err := b.ReadFrom(io.LimitReader(res.Body, maxResponse))
+	return b.Bytes(), err
+}
