relay: fewer calls to the store after restarts and in outages

An instance whose parent is turned away begins to read as well, though others can.

Change: - After its first full read an instance waits up to 1 s for others to confirm its objects before it watches the store. - While the store does not answer, one kind is read as a test of it, and below the root of the tree with pauses of up to 2.5 s. - An instance whose objects are stale also asks random members, before it reads the store. Requests to the parent end when the objects become stale. The root searches at the same time, instead of up to 2 s later.

Ruled out: limiting the readers of a domain by rank; an instance does not know which of the others are turned away.

--- a/pkg/cache/tree.go
+++ b/pkg/cache/tree.go
@@ -132,9 +132,13 @@
 	}
 }
 
-// RandomMember returns a random live member, and false if there is none.
-func (m *Members) RandomMember(now time.Time) (netip.AddrPort, bool) {
+// RandomMember returns a random live member other than the one that was asked
+// last, unless that is the only one, and false if there is none.
+func (m *Members) RandomMember(now time.Time, last netip.AddrPort) (netip.AddrPort, bool) {
 	members := m.live(now)
+	if len(members) > 1 {
+		members = slices.DeleteFunc(members, func(mb *member) bool { return mb.Addr == last })
+	}
 	if len(members) == 0 {
 		return netip.AddrPort{}, false
 	}
--- a/pkg/relay/peer.go
+++ b/pkg/relay/peer.go
@@ -173,25 +173,13 @@
 	if r.ReadPolicy.FirstStart {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, firstReadTimeout)
-	defer cancel()
-	for ctx.Err() == nil {
-		r.cacheMu.Lock()
-		done, updated := r.cache.Complete(), r.updated
-		r.cacheMu.Unlock()
-		if done {
-			return
-		}
-		select {
-		case <-ctx.Done():
-		case <-updated:
-		}
-	}
+	r.awaitUpdate(ctx, firstReadTimeout, r.cache.Complete)
 }
 
 // exchangeLoop gets updates from the parent in the tree of instances. The root,
 // which has no parent, contacts random members instead, or the seeds while it
-// knows no live members.
+// knows no live members. An instance whose objects are stale asks random members
+// too: its parent may be cut off from the store while others are not.
 func (r *Relay) exchangeLoop(ctx context.Context) {
 	r.awaitFirstRead(ctx)
 	client, err := newPeerClient()
@@ -200,38 +188,61 @@
 		return
 	}
 	r.exchangeWithSeeds(ctx, client)
-	var last netip.AddrPort
-	first := true
+	var last, lastAny netip.AddrPort
+	first, askedParent := true, false
 	for ctx.Err() == nil {
 		now := r.Clock()
 		r.cacheMu.Lock()
 		parent, level := r.members.Parent(now)
 		r.level = level
-		confirmedAt := r.cache.ConfirmedAt()
 		r.cacheMu.Unlock()
+		untilStale := r.untilStale()
 		if parent != last || first {
 			r.Log.Info("parent instance changed", "parent", parent, "level", level)
 			last, first = parent, false
 		}
-		if level > 0 {
-			r.exchange(ctx, client, parent, r.ReadPolicy.ConfirmInterval()+exchangeWaitMargin)
+		if level > 0 && (untilStale > 0 || !askedParent) {
+			askedParent = true
+			maxWait := r.ReadPolicy.ConfirmInterval() + exchangeWaitMargin
+			if untilStale > 0 {
+				maxWait = min(maxWait, untilStale)
+			} else {
+				maxWait = searchInterval
+			}
+			r.exchange(ctx, client, parent, maxWait)
 			wait.Pause(ctx, exchangePause)
 			continue
 		}
-		r.cacheMu.Lock()
-		other, ok := r.members.RandomMember(now)
-		r.cacheMu.Unlock()
-		if ok {
-			r.exchange(ctx, client, other, 0)
-		} else {
-			r.exchangeWithSeeds(ctx, client)
-		}
-		if confirmedAt.IsZero() || now.Sub(confirmedAt) > r.ReadPolicy.StaleAfter() {
-			wait.Pause(ctx, searchInterval)
-		} else {
-			wait.Pause(ctx, rootExchangeInterval)
+		askedParent = false
+		lastAny = r.exchangeWithAny(ctx, client, lastAny)
+		if level > 0 {
+			wait.Pause(ctx, exchangePause)
+			continue
 		}
+		wait.Pause(ctx, min(max(r.untilStale(), searchInterval), rootExchangeInterval))
+	}
+}
+
+// untilStale returns the time until the objects of this instance are stale,
+// which is negative if they are.
+func (r *Relay) untilStale() time.Duration {
+	r.cacheMu.Lock()
+	defer r.cacheMu.Unlock()
+	return r.ReadPolicy.StaleAfter() - r.Clock().Sub(r.cache.ConfirmedAt())
+}
+
+// exchangeWithAny sends a request to a random live member other than last, or to
+// the seeds if there is none. It returns the member.
+func (r *Relay) exchangeWithAny(ctx context.Context, client *peerClient, last netip.AddrPort) netip.AddrPort {
+	r.cacheMu.Lock()
+	other, ok := r.members.RandomMember(r.Clock(), last)
+	r.cacheMu.Unlock()
+	if ok {
+		r.exchange(ctx, client, other, 0)
+	} else {
+		r.exchangeWithSeeds(ctx, client)
 	}
+	return other
 }
 
 // ageMillis returns the time since t in milliseconds, or the maximum if t is
--- a/pkg/relay/reader.go
+++ b/pkg/relay/reader.go
@@ -26,9 +26,16 @@
 	// instances below it read the store themselves unless it confirms their
 	// objects within the delay that ReadPolicy adds for each level.
 	firstWatchWait = 20 * time.Millisecond
+	// firstReadPause is how long an instance waits after its first full read for
+	// others to confirm its objects, before it watches the store.
+	firstReadPause = time.Second
 	// minRetryDelay and maxRetryDelay bound the wait after a failed call.
-	minRetryDelay = 200 * time.Millisecond
-	maxRetryDelay = time.Second
+	// maxChildRetryDelay applies below the root of the tree. It is shorter than
+	// the time for which the platform counts an instance as disturbed after its
+	// connection to the store came back.
+	minRetryDelay      = 200 * time.Millisecond
+	maxRetryDelay      = time.Second
+	maxChildRetryDelay = 2500 * time.Millisecond
 	// readPolicyInterval is the interval at which an instance decides whether
 	// it reads the store.
 	readPolicyInterval = 50 * time.Millisecond
@@ -98,6 +105,7 @@
 		}
 		if err != nil {
 			kr.callFailed(ctx, rev, err)
+			r.awaitStore(ctx, k)
 			continue
 		}
 		kr.callSucceeded(d.Rev)
@@ -110,12 +118,66 @@
 			at = r.Clock() // the result of a watch is current when it returns
 		}
 		r.applyRead(at, d)
+		if rev == 0 {
+			r.awaitConfirmation(ctx)
+			kr.firstWatch = true
+			continue
+		}
 		if len(d.Objects) > 0 && !d.Full {
 			wait.Pause(ctx, watchPause)
 		}
 	}
 }
 
+// awaitConfirmation waits until others confirm the objects of this instance, so
+// that it need not read the store any more, for up to firstReadPause. When all
+// instances restart together, each would otherwise watch all kinds once.
+func (r *Relay) awaitConfirmation(ctx context.Context) {
+	r.awaitUpdate(ctx, firstReadPause, func() bool { return !r.reading })
+}
+
+// awaitStore waits while the store does not answer the kind that is read as a
+// test of its availability, for up to maxChildRetryDelay. The reader of that
+// kind does not wait.
+func (r *Relay) awaitStore(ctx context.Context, k cache.Kind) {
+	if k != availabilityKind {
+		r.awaitUpdate(ctx, maxChildRetryDelay, func() bool { return !r.reading || !r.storeDown })
+	}
+}
+
+// availabilityKind is the kind that an instance goes on reading while the store
+// does not answer. It reads the others when the store answers again.
+const availabilityKind = cache.Domains
+
+// awaitUpdate waits until a condition on the cache or the reader role holds, for
+// up to limit. done is called with cacheMu locked.
+func (r *Relay) awaitUpdate(ctx context.Context, limit time.Duration, done func() bool) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for ctx.Err() == nil {
+		r.cacheMu.Lock()
+		ok, updated := done(), r.updated
+		r.cacheMu.Unlock()
+		if ok {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-updated:
+		}
+	}
+}
+
+// setStoreDown records whether the store answers the reader of availabilityKind.
+func (r *Relay) setStoreDown(down bool) {
+	r.cacheMu.Lock()
+	defer r.cacheMu.Unlock()
+	if r.storeDown != down {
+		r.storeDown = down
+		r.notifyWaiters()
+	}
+}
+
 // readNext reads all objects of a kind, or waits for changes after rev.
 func (r *Relay) readNext(ctx context.Context, k cache.Kind, rev uint64, kr *kindReader) (cache.Delta, error) {
 	if rev == 0 || kr.fullRead {
@@ -151,7 +213,16 @@
 	if kr.outage.RecordFailure(kr.r.Clock()) {
 		kr.r.Log.Warn("store lost", "kind", kr.kind, "rev", rev, "err", err)
 	}
-	kr.retryDelay = min(max(2*kr.retryDelay, minRetryDelay), maxRetryDelay)
+	if kr.kind == availabilityKind {
+		kr.r.setStoreDown(true)
+	}
+	kr.r.cacheMu.Lock()
+	limit := maxRetryDelay
+	if kr.r.level > 0 {
+		limit = maxChildRetryDelay
+	}
+	kr.r.cacheMu.Unlock()
+	kr.retryDelay = min(max(2*kr.retryDelay, minRetryDelay), limit)
 	wait.Pause(ctx, kr.retryDelay)
 }
 
@@ -160,6 +231,9 @@
 	if downtime, wasDown := kr.outage.RecordSuccess(kr.r.Clock()); wasDown {
 		kr.r.Log.Info("store regained", "kind", kr.kind, "rev", rev, "after", downtime)
 	}
+	if kr.kind == availabilityKind {
+		kr.r.setStoreDown(false)
+	}
 	kr.retryDelay, kr.fullRead, kr.firstWatch, kr.failures = 0, false, false, 0
 }
 
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -100,6 +100,7 @@
 	members         cache.Members
 	level           int           // in the tree of instances
 	reading         bool          // whether this instance reads the store
+	storeDown       bool          // the store did not answer the reader of availabilityKind
 	peerConfirmedAt time.Time     // when other instances last confirmed the cache
 	updated         chan struct{} // closed when the cache or the reader role changes
 	linkBusyUntil   time.Time     // when the link will have carried the responses sent so far
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -40,7 +40,7 @@
 	calls      map[string]int // by instance
 	watchWaits map[string][]time.Duration
 	down       bool
-	refused    string // name of an instance whose watches fail
+	refused    []string // names of the instances whose calls fail
 }
 
 func newFakeStore() *fakeStore {
@@ -64,6 +64,14 @@
 	s.down = down
 }
 
+func (s *fakeStore) downFor(name string) bool { return s.down || slices.Contains(s.refused, name) }
+
+func (s *fakeStore) refuse(names ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused, s.watchWaits = names, map[string][]time.Duration{}
+}
+
 func (s *fakeStore) callsOf(name string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -82,7 +90,7 @@
 	v.s.mu.Lock()
 	defer v.s.mu.Unlock()
 	v.s.calls[v.name]++
-	if v.s.down {
+	if v.s.downFor(v.name) {
 		return cache.Delta{}, &store.UnavailableError{Err: errDown}
 	}
 	return v.s.delta(k, 0), nil
@@ -109,7 +117,7 @@
 	v.s.calls[v.name]++
 	v.s.watchWaits[v.name] = append(v.s.watchWaits[v.name], wait)
 	for {
-		d, changed, down := v.s.delta(k, since), v.s.changed, v.s.down || v.s.refused == v.name
+		d, changed, down := v.s.delta(k, since), v.s.changed, v.s.downFor(v.name)
 		v.s.mu.Unlock()
 		switch {
 		case down:
@@ -277,15 +285,76 @@
 	second := startInstance(t, s, "second", 1, first.Control)
 	waitUntil(t, "the second instance no longer reads", func() bool { return second.version() == v && !second.readsStore() })
 	time.Sleep(2 * second.ReadPolicy.ConfirmInterval()) // lets calls in progress end
-	s.mu.Lock()
-	s.refused, s.watchWaits = "first", map[string][]time.Duration{}
-	s.mu.Unlock()
+	s.refuse("first")
 	waitUntil(t, "the second instance reads all kinds", func() bool { return len(s.watchWaitsOf("second")) >= int(cache.Kinds) })
 	for _, w := range s.watchWaitsOf("second")[:cache.Kinds] {
 		assert.Equal(t, w, firstWatchWait)
 	}
 }
 
+// Guards against calls that cost money when all instances restart together: an
+// instance reads each kind once, and others confirm its objects before it
+// watches them.
+func TestRestartReadsEachKindOnce(t *testing.T) {
+	t.Parallel()
+	s, v, first := startReader(t)
+	second := startInstance(t, s, "second", 1, first.Control)
+	waitUntil(t, "the second instance no longer reads", func() bool { return second.version() == v && !second.readsStore() })
+	time.Sleep(2 * firstReadPause)
+	assert.Equal(t, s.callsOf("second"), int(cache.Kinds))
+}
+
+// Guards against calls of the whole fleet while the store does not answer: in an
+// outage of 6 s each instance made some 30. The bound is a third of that.
+func TestFewCallsInAnOutage(t *testing.T) {
+	t.Parallel()
+	s, v, first := startReader(t)
+	second := startInstance(t, s, "second", 1, first.Control)
+	waitUntil(t, "the second instance no longer reads", func() bool { return second.version() == v && !second.readsStore() })
+	s.setDown(true)
+	waitUntil(t, "the second instance reads", second.readsStore)
+	before := s.callsOf("second")
+	time.Sleep(6 * time.Second)
+	calls := s.callsOf("second") - before
+	assert.Assert(t, calls <= 10, "%d calls", calls)
+	s.setDown(false)
+	v = s.change()
+	waitUntil(t, "the change is in force", func() bool { return second.version() == v })
+}
+
+// Guards against instances below a parent that the store turns away: they read
+// the store as well, or their objects become older than the bound, although
+// another instance can read it.
+func TestTurnedAwayInstancesAskOthers(t *testing.T) {
+	t.Parallel()
+	s, v, first := startReader(t)
+	second := startInstance(t, s, "second", 5, first.Control)
+	third := startInstance(t, s, "third", 1, first.Control)
+	waitUntil(t, "the other instances no longer read", func() bool {
+		return second.version() == v && third.version() == v && !second.readsStore() && !third.readsStore()
+	})
+	s.refuse("first", "second")
+	before := s.callsOf("second")
+	deadline := time.Now().Add(3 * first.ReadPolicy.MaxDelay)
+	for n := 0; time.Now().Before(deadline); n++ {
+		if n%10 == 0 {
+			v = s.change()
+		}
+		time.Sleep(100 * time.Millisecond)
+		for _, i := range []*instance{first, second, third} {
+			i.cacheMu.Lock()
+			age := time.Since(i.cache.ConfirmedAt())
+			i.cacheMu.Unlock()
+			assert.Assert(t, age < i.ReadPolicy.MaxDelay, "objects of %s were confirmed %v ago", i.Name, age)
+		}
+	}
+	for _, i := range []*instance{first, second, third} {
+		waitUntil(t, i.Name+" has the last change", func() bool { return i.version() == v })
+	}
+	calls := s.callsOf("second") - before
+	assert.Assert(t, calls <= 10, "%d calls", calls)
+}
+
 func (s *fakeStore) watchWaitsOf(name string) []time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
