--- a/pkg/router/spread_test.go
+++ b/pkg/router/spread_test.go
@@ -58,7 +58,10 @@
 	return best, lowest
 }
 
-const spreadServiceTime = 20 * time.Millisecond
+const (
+	spreadServiceTime = 20 * time.Millisecond
+	spreadDuration    = 4 * time.Second
+)
 
 // spread is the result of a simulation in a span of time.
 type spread struct {
@@ -96,8 +99,9 @@
 	})
 }
 
-// measure runs a simulation for a time and returns the spread of load in it.
-func (sim *simulation) measure(d time.Duration) spread {
+// measure runs a simulation for spreadDuration and returns the spread of load in
+// it.
+func (sim *simulation) measure() spread {
 	type before struct {
 		busy   time.Duration
 		served int
@@ -106,7 +110,7 @@
 	for id, srv := range sim.servers {
 		from[id] = before{srv.busyTime, srv.served}
 	}
-	sim.run(d)
+	sim.run(spreadDuration)
 	last := len(sim.requests)
 	sim.run(time.Second) // the last requests end
 	var busy []float64
@@ -119,7 +123,7 @@
 		u, n := (srv.busyTime - from[id].busy).Seconds(), float64(srv.served-from[id].served)
 		busy = append(busy, u)
 		sumBusy, sumServed, most = sumBusy+u, sumServed+n, max(most, n)
-		capacity += 2 * srv.speed / sim.serviceTime.Seconds() * d.Seconds()
+		capacity += 2 * srv.speed / sim.serviceTime.Seconds() * spreadDuration.Seconds()
 		if n == 0 {
 			out.starved++
 		}
@@ -168,8 +172,8 @@
 		for _, load := range []float64{0.3, 0.6, 0.9} {
 			t.Run(fmt.Sprint(seed, "/", load), func(t *testing.T) {
 				t.Parallel()
-				got := newSpread(90, 120, 4, load, seed, nil).warm().measure(4 * time.Second)
-				lowest := newSpread(90, 120, 4, load, seed, lowestEstimate).warm().measure(4 * time.Second)
+				got := newSpread(90, 120, 4, load, seed, nil).warm().measure()
+				lowest := newSpread(90, 120, 4, load, seed, lowestEstimate).warm().measure()
 				assertSpread(t, got)
 				assert.Assert(t, got.goodput >= lowest.goodput-0.005, "%v against %v", got, lowest)
 			})
@@ -187,7 +191,7 @@
 			late := func(choose choosePolicy) float64 {
 				sim := newSpread(90, 120, 4, 0.05, seed, choose).warm()
 				sim.crash(12)
-				return 1 - sim.measure(4*time.Second).goodput
+				return 1 - sim.measure().goodput
 			}
 			got, random := late(nil), late(chooseAmong(1))
 			assert.Assert(t, got <= random/2, "%.3f late, random %.3f", got, random)
@@ -209,12 +213,12 @@
 					var calm, crash, restart spread
 					for b.Loop() {
 						sim := newSpread(size.instances, size.servers, size.domains, load, 1, choose).warm()
-						calm = sim.measure(4 * time.Second)
+						calm = sim.measure()
 						if all {
 							sim.crash(size.servers / 10)
-							crash = sim.measure(4 * time.Second)
+							crash = sim.measure()
 							sim.startInstances()
-							restart = sim.measure(4 * time.Second)
+							restart = sim.measure()
 						}
 					}
 					calm.report(b, "calm")
