--- a/pkg/cache/cache.go
+++ b/pkg/cache/cache.go
@@ -66,7 +66,8 @@
 
 // Cache holds the objects that an instance knows.
 type Cache struct {
-	kinds [Kinds]kindCache
+	kinds   [Kinds]kindCache
+	ignored [Kinds]uint64
 	// origin is the instance that read the latest confirmation from the store.
 	origin string
 }
@@ -103,6 +104,7 @@
 		return Delta{}, false
 	}
 	if d.Rev < kc.rev {
+		c.ignored[d.Kind]++
 		return Delta{}, true
 	}
 	changes = Delta{Kind: d.Kind, Since: kc.rev, Rev: d.Rev}
@@ -199,6 +201,10 @@
 	return out
 }
 
+// Ignored returns how many deltas of each kind were ignored because they are
+// older than the cached objects.
+func (c *Cache) Ignored() [Kinds]uint64 { return c.ignored }
+
 // Checksums returns the checksums of the objects of all kinds.
 func (c *Cache) Checksums() [Kinds]uint64 {
 	var out [Kinds]uint64
--- a/pkg/relay/peer.go
+++ b/pkg/relay/peer.go
@@ -276,8 +276,11 @@
 	r.Counters.SentRequests.Add(1)
 	r.members.Merge(now, res.Members)
 	r.members.MarkAnswered(now, to)
-	previous := r.cache.ConfirmedAt()
+	previous, ignored := r.cache.ConfirmedAt(), r.cache.Ignored()
 	updates, confirmedAt := r.cache.Merge(now, r.Name, res)
+	if now := r.cache.Ignored(); now != ignored {
+		r.Log.Info("instance sent older objects", "instance", to, "revs", req.KnownRevs, "origin", res.Origin, "ignored", now)
+	}
 	if confirmedAt.After(r.peerConfirmedAt) {
 		r.peerConfirmedAt = confirmedAt
 	}
--- a/pkg/relay/reader.go
+++ b/pkg/relay/reader.go
@@ -242,7 +242,11 @@
 func (r *Relay) applyRead(at time.Time, d cache.Delta) {
 	r.cacheMu.Lock()
 	defer r.cacheMu.Unlock()
+	before := r.cache.Revs()[d.Kind]
 	update, ok := r.cache.Apply(at, d)
+	if d.Full {
+		r.Log.Info("store list read", "kind", d.Kind, "rev", d.Rev, "before", before, "objects", len(d.Objects), "newestObject", newestRev(d.Objects), "ignored", d.Rev < before)
+	}
 	if !ok {
 		r.Log.Warn("store changes do not follow the cached revision", "kind", d.Kind, "since", d.Since, "rev", d.Rev)
 		return
@@ -251,6 +255,15 @@
 	r.applyUpdates([]cache.Delta{update})
 }
 
+// newestRev returns the highest revision of objects.
+func newestRev(objects []cache.Object) uint64 {
+	highest := uint64(0)
+	for _, o := range objects {
+		highest = max(highest, o.Rev)
+	}
+	return highest
+}
+
 // applyUpdates puts new objects in force and wakes the instances that wait for
 // them. Decoding takes long on a small instance and must not delay packets, so
 // it is done before mu is locked. The caller holds cacheMu.
--- a/pkg/relay/vars.go
+++ b/pkg/relay/vars.go
@@ -16,7 +16,7 @@
 			"in": c.In.Load(), "out": c.Out.Load(), "sendErrors": c.SendErrors.Load(), "malformed": c.Malformed.Load(),
 		},
 		"facts": map[string]any{
-			"revs": r.cache.Revs(), "ageMs": logs.Age(r.Clock(), r.cache.ConfirmedAt()).Milliseconds(), "origin": r.cache.Origin(),
+			"revs": r.cache.Revs(), "ignored": r.cache.Ignored(), "ageMs": logs.Age(r.Clock(), r.cache.ConfirmedAt()).Milliseconds(), "origin": r.cache.Origin(),
 			"level": r.level, "reads": r.reading, "asks": c.SentRequests.Load(), "askErrors": c.FailedRequests.Load(), "answers": c.ReceivedRequests.Load(),
 		},
 		"leaving": r.leaving.Load(),
--- a/pkg/router/route.go
+++ b/pkg/router/route.go
@@ -10,7 +10,7 @@
 // revision.
 func (lb *Balancer) ApplySettings(newSettings *Settings) {
 	if lb.settings != nil && (newSettings.Version < lb.settings.Version || newSettings.Rev < lb.settings.Rev) {
-		lb.Log.Warn("settings ignored, they are older than those in force", "version", newSettings.Version, "inForce", lb.settings.Version)
+		lb.Log.Warn("settings ignored, they are older than those in force", "version", newSettings.Version, "rev", newSettings.Rev, "inForce", lb.settings.Version, "inForceRev", lb.settings.Rev)
 		return
 	}
 	if lb.settings != nil && newSettings.Version == lb.settings.Version {
--- a/pkg/store/client.go
+++ b/pkg/store/client.go
@@ -29,6 +29,10 @@
 // which bounds the memory of one call.
 const maxResponse = 256 << 20
 
+// eraHeader is the header of all responses that says how often the store came back
+// from an older copy of itself. A store without it is in era 0.
+const eraHeader = "Store-Era"
+
 // maxPreallocated bounds the buffer that is allocated for the stated length of a
 // response, in bytes. Pages are at most 1 MB.
 const maxPreallocated = 2 << 20
@@ -84,7 +88,7 @@
 		Rev     uint64   `json:"rev"`
 		Objects []Object `json:"objects"`
 	}
-	err := c.Read(ctx, "/v1/objects?prefix="+url.QueryEscape(prefix), c.Timeout, &res)
+	_, err := c.Read(ctx, "/v1/objects?prefix="+url.QueryEscape(prefix), c.Timeout, &res)
 	return res.Objects, res.Rev, err
 }
 
@@ -92,7 +96,7 @@
 // exist.
 func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
 	var o Object
-	err := c.Read(ctx, objectPath(kind, name), c.Timeout, &o)
+	_, err := c.Read(ctx, objectPath(kind, name), c.Timeout, &o)
 	return o, err
 }
 
@@ -105,7 +109,7 @@
 		Events []Event `json:"events"`
 	}
 	path := fmt.Sprintf("/v1/watch?since=%d&timeout=%d", since, wait.Milliseconds())
-	err := c.Read(ctx, path, c.Timeout+wait, &res)
+	_, err := c.Read(ctx, path, c.Timeout+wait, &res)
 	return res.Events, res.Rev, err
 }
 
@@ -114,22 +118,23 @@
 }
 
 // Read sends a GET request for path, with up to Tries attempts, and decodes the
-// JSON response into out. It is exported for readers of APIs with other paths.
+// JSON response into out. It returns the era of the store that responded. It is
+// exported for readers of APIs with other paths.
 // Errors include *UnavailableError, *GoneError and *NotFoundError.
-func (c *Client) Read(ctx context.Context, path string, timeout time.Duration, out any) error {
+func (c *Client) Read(ctx context.Context, path string, timeout time.Duration, out any) (era uint64, err error) {
 	for attempt := 1; ; attempt++ {
-		err := c.call(ctx, http.MethodGet, path, 0, nil, timeout, out)
+		era, err := c.call(ctx, http.MethodGet, path, 0, nil, timeout, out)
 		cause, retriable := causeOf(err)
 		if err == nil || !retriable {
-			return err
+			return era, err
 		}
 		c.useNextAddr()
 		if attempt >= max(c.Tries, 1) {
-			return err
+			return era, err
 		}
 		c.Counters.Retries.Add(cause)
 		if c.Sleep(ctx, c.backoff(attempt)) != nil {
-			return err
+			return era, err
 		}
 	}
 }
@@ -158,43 +163,49 @@
 }
 
 // call sends one HTTP request to the address in use and decodes the response
-// into out. rev is the expected revision of a write.
-func (c *Client) call(ctx context.Context, method, path string, rev uint64, body []byte, timeout time.Duration, out any) error {
+// into out. rev is the expected revision of a write. It returns the era of the
+// store, 0 without a response.
+func (c *Client) call(ctx context.Context, method, path string, rev uint64, body []byte, timeout time.Duration, out any) (era uint64, err error) {
 	c.Counters.Calls.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, c.currentAddr()+path, bytes.NewReader(body))
 	if err != nil {
-		return fmt.Errorf("object API request: %w", err)
+		return 0, fmt.Errorf("object API request: %w", err)
 	}
 	if method != http.MethodGet {
 		req.Header.Set("If-Match", strconv.FormatUint(rev, 10))
 		req.Header.Set("Content-Type", "application/json")
 	}
-	err = c.roundTrip(req, out)
+	era, err = c.roundTrip(req, out)
 	if cause, _ := causeOf(err); err != nil {
 		c.Counters.Errors.Add(cause)
 	}
-	return err
+	return era, err
 }
 
-func (c *Client) roundTrip(req *http.Request, out any) error {
+func (c *Client) roundTrip(req *http.Request, out any) (era uint64, err error) {
 	res, err := c.HTTP.Do(req)
 	if err != nil {
-		return transportError(err)
+		return 0, transportError(err)
 	}
 	defer res.Body.Close()
 	b, err := readBody(res)
 	if err != nil {
-		return transportError(err)
+		return 0, transportError(err)
+	}
+	if v := res.Header.Get(eraHeader); v != "" {
+		if era, err = strconv.ParseUint(v, 10, 64); err != nil {
+			return 0, &UnavailableError{Cause: CauseMalformed, Err: fmt.Errorf("header %s: %w", eraHeader, err)}
+		}
 	}
 	if err := statusError(req, res.StatusCode, b); err != nil {
-		return err
+		return era, err
 	}
 	if err := Decode(b, out); err != nil {
-		return &UnavailableError{Cause: CauseMalformed, Err: err}
+		return era, &UnavailableError{Cause: CauseMalformed, Err: err}
 	}
-	return nil
+	return era, nil
 }
 
 // readBody returns the content of a response, up to maxResponse bytes. Without
--- a/pkg/store/write.go
+++ b/pkg/store/write.go
@@ -92,7 +92,7 @@
 	}
 	var err error
 	for range c.Addrs {
-		err = c.call(ctx, method, objectPath(kind, name), rev, body, c.Timeout, &res)
+		_, err = c.call(ctx, method, objectPath(kind, name), rev, body, c.Timeout, &res)
 		if cause, _ := causeOf(err); err == nil || cause != CauseConnect {
 			break
 		}
