revs, cache, objs, relay: revisions ordered by the era of the store first

Cause: the cache ordered its objects by the store's counter alone. When the store comes back older, the counter goes back and is given out again. A list below the cached counter was ignored, so the next watch got status 410 again, without a pause in between; a list at the same counter was taken for the known state; a watch from a counter that the new history had passed left out what lay before. The same held for requests and responses between instances. The class: a position in one history is compared with a position in another.

The cache, the deltas between instances and the consumers compare these and nothing else. A list older than the cache counts as a failed call, with a pause. The settings in force still only advance by their version.

--- a/pkg/cache/bench_test.go
+++ b/pkg/cache/bench_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
+
+	"ebonypaddle/pkg/revs"
 )
 
 // maxControlBytesPerSecond bounds the control traffic of one instance.
@@ -69,7 +71,7 @@
 			d.Objects = nil
 			runtime.GC()
 			runtime.ReadMemStats(&after)
-			rev := uint64(1)
+			rev := revs.Rev(1)
 			for b.Loop() {
 				rev++
 				cache.Apply(testStart, Delta{Kind: Servers, Since: rev - 1, Rev: rev, Objects: []Object{{Name: "i-0000000001", Rev: rev}}})
--- a/pkg/cache/cache.go
+++ b/pkg/cache/cache.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"ebonypaddle/pkg/revs"
 )
 
 // Kind is a kind of objects in the store.
@@ -38,7 +40,7 @@
 	_    struct{} `cbor:",toarray"`
 	Name string
 	// Rev is the revision of the object's last change.
-	Rev     uint64
+	Rev     revs.Rev
 	Deleted bool
 	// Spec is the object's content in the format of Pack.
 	Spec []byte
@@ -50,14 +52,14 @@
 	if o.Deleted || o.Name == "" {
 		return 0
 	}
-	return xxhash.Sum64String(o.Name) ^ (o.Rev+1)*0x9E3779B97F4A7C15 // the factor spreads revisions over all bits
+	return xxhash.Sum64String(o.Name) ^ uint64(o.Rev+1)*0x9E3779B97F4A7C15 // the factor spreads revisions over all bits
 }
 
 // Delta holds the changes of one kind from revision Since to revision Rev.
 type Delta struct {
 	_          struct{} `cbor:",toarray"`
 	Kind       Kind
-	Since, Rev uint64
+	Since, Rev revs.Rev
 	// Full means that Objects are all objects that exist at Rev, whatever was
 	// known before.
 	Full    bool
@@ -74,8 +76,8 @@
 
 // kindCache holds the objects of one kind.
 type kindCache struct {
-	rev      uint64
-	minSince uint64 // lowest revision from which a delta can be computed
+	rev      revs.Rev
+	minSince revs.Rev // lowest revision from which a delta can be computed
 	objects  map[string]entry
 	// checksum covers the objects that exist. It is equal on two instances that
 	// read the same objects at different revisions of the store.
@@ -87,7 +89,7 @@
 // entry is an object and the revision of its kind at which it changed here.
 type entry struct {
 	Object
-	changedAt uint64
+	changedAt revs.Rev
 }
 
 // Apply applies a delta that was current at the time at, and returns the
@@ -151,7 +153,7 @@
 
 // DeltaSince returns what changed in a kind after a revision. ok is false when
 // the kind has not been read yet or rev is newer than the cached revision.
-func (c *Cache) DeltaSince(k Kind, rev uint64) (d Delta, ok bool) {
+func (c *Cache) DeltaSince(k Kind, rev revs.Rev) (d Delta, ok bool) {
 	kc := &c.kinds[k]
 	if kc.objects == nil || rev > kc.rev {
 		return Delta{}, false
@@ -193,8 +195,8 @@
 }
 
 // Revs returns the revisions of all kinds.
-func (c *Cache) Revs() [Kinds]uint64 {
-	var out [Kinds]uint64
+func (c *Cache) Revs() [Kinds]revs.Rev {
+	var out [Kinds]revs.Rev
 	for k := range c.kinds {
 		out[k] = c.kinds[k].rev
 	}
--- a/pkg/cache/cache_test.go
+++ b/pkg/cache/cache_test.go
@@ -6,19 +6,21 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"ebonypaddle/pkg/revs"
 )
 
 var testStart = time.UnixMilli(1_700_000_000_000)
 
-func newObject(name string, rev uint64) Object { return Object{Name: name, Rev: rev} }
+func newObject(name string, rev revs.Rev) Object { return Object{Name: name, Rev: rev} }
 
-func fullDelta(rev uint64, objects ...Object) Delta {
+func fullDelta(rev revs.Rev, objects ...Object) Delta {
 	return Delta{Kind: Servers, Rev: rev, Full: true, Objects: objects}
 }
 
 // revsByName returns the revisions of the servers that exist.
-func revsByName(c *Cache) map[string]uint64 {
-	out := map[string]uint64{}
+func revsByName(c *Cache) map[string]revs.Rev {
+	out := map[string]revs.Rev{}
 	for n, e := range c.kinds[Servers].objects {
 		if !e.Deleted {
 			out[n] = e.Rev
@@ -37,7 +39,7 @@
 	changes, ok = c.Apply(testStart, fullDelta(7, newObject("a", 3)))
 	assert.Assert(t, ok)
 	assert.Assert(t, !changes.Full && len(changes.Objects) == 0)
-	assert.DeepEqual(t, revsByName(&c), map[string]uint64{"a": 3})
+	assert.DeepEqual(t, revsByName(&c), map[string]revs.Rev{"a": 3})
 }
 
 // Guards against an instance that goes back to an older revision, or applies a
@@ -47,14 +49,14 @@
 		name string
 		d    Delta
 		ok   bool
-		want map[string]uint64
+		want map[string]revs.Rev
 	}{
-		{"older full", fullDelta(5), true, map[string]uint64{"a": 3}},
-		{"newer full", fullDelta(8, newObject("b", 8)), true, map[string]uint64{"b": 8}},
-		{"delta", Delta{Kind: Servers, Since: 7, Rev: 8, Objects: []Object{newObject("b", 8)}}, true, map[string]uint64{"a": 3, "b": 8}},
-		{"removal", Delta{Kind: Servers, Since: 7, Rev: 8, Objects: []Object{{Name: "a", Rev: 8, Deleted: true}}}, true, map[string]uint64{}},
-		{"gap", Delta{Kind: Servers, Since: 9, Rev: 10, Objects: []Object{newObject("b", 10)}}, false, map[string]uint64{"a": 3}},
-		{"overlap", Delta{Kind: Servers, Since: 2, Rev: 8, Objects: []Object{newObject("a", 2), newObject("b", 8)}}, true, map[string]uint64{"a": 3, "b": 8}},
+		{"older full", fullDelta(5), true, map[string]revs.Rev{"a": 3}},
+		{"newer full", fullDelta(8, newObject("b", 8)), true, map[string]revs.Rev{"b": 8}},
+		{"delta", Delta{Kind: Servers, Since: 7, Rev: 8, Objects: []Object{newObject("b", 8)}}, true, map[string]revs.Rev{"a": 3, "b": 8}},
+		{"removal", Delta{Kind: Servers, Since: 7, Rev: 8, Objects: []Object{{Name: "a", Rev: 8, Deleted: true}}}, true, map[string]revs.Rev{}},
+		{"gap", Delta{Kind: Servers, Since: 9, Rev: 10, Objects: []Object{newObject("b", 10)}}, false, map[string]revs.Rev{"a": 3}},
+		{"overlap", Delta{Kind: Servers, Since: 2, Rev: 8, Objects: []Object{newObject("a", 2), newObject("b", 8)}}, true, map[string]revs.Rev{"a": 3, "b": 8}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			var c Cache
@@ -164,7 +166,7 @@
 	}{
 		{"has all", Request{KnownRevs: c.Revs(), Age: 10}, false},
 		{"missed a confirmation", Request{KnownRevs: c.Revs(), Age: 1200}, true},
-		{"misses changes", Request{KnownRevs: [Kinds]uint64{7, 6, 7}}, true},
+		{"misses changes", Request{KnownRevs: [Kinds]revs.Rev{7, 6, 7}}, true},
 		{"has nothing", Request{Age: 1 << 31}, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/pkg/cache/message.go
+++ b/pkg/cache/message.go
@@ -1,6 +1,10 @@
 package cache
 
-import "time"
+import (
+	"time"
+
+	"ebonypaddle/pkg/revs"
+)
 
 // Request asks another instance for updates.
 type Request struct {
@@ -9,7 +13,7 @@
 	// others.
 	Members []Member
 	// KnownRevs are the revisions that the requesting instance has of each kind.
-	KnownRevs [Kinds]uint64
+	KnownRevs [Kinds]revs.Rev
 	// Age is how long ago another instance confirmed them, in milliseconds.
 	Age uint32
 	// MaxWait is how long the response may wait for changes, in milliseconds.
@@ -78,11 +82,11 @@
 	return c.ConfirmedAt().Sub(theirConfirmedAt) >= minConfirmationGain
 }
 
-// Respond returns the changes that an instance at the revisions revs is missing.
-func (c *Cache) Respond(now time.Time, revs [Kinds]uint64) Response {
+// Respond returns the changes that an instance at the revisions known is missing.
+func (c *Cache) Respond(now time.Time, known [Kinds]revs.Rev) Response {
 	res := Response{Origin: c.origin, Checksums: c.Checksums()}
 	for k := range Kinds {
-		if d, ok := c.DeltaSince(k, revs[k]); ok && (d.Rev > revs[k] || d.Full) {
+		if d, ok := c.DeltaSince(k, known[k]); ok && (d.Rev > known[k] || d.Full) {
 			res.Deltas = append(res.Deltas, d)
 		}
 	}
--- a/pkg/relay/reader.go
+++ b/pkg/relay/reader.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"ebonypaddle/pkg/cache"
 	"ebonypaddle/pkg/logs"
+	"ebonypaddle/pkg/revs"
 	"ebonypaddle/pkg/router"
 	"ebonypaddle/pkg/store"
 	"ebonypaddle/pkg/wait"
@@ -47,8 +49,9 @@
 	// limit.
 	List(ctx context.Context, k cache.Kind, limit time.Duration) (cache.Delta, error)
 	// Watch waits for changes after a revision, for up to wait. It returns a
-	// *store.GoneError if the store no longer has these changes.
-	Watch(ctx context.Context, k cache.Kind, since uint64, wait time.Duration) (cache.Delta, error)
+	// *store.GoneError if the store no longer has these changes, or is in another
+	// era than the revision.
+	Watch(ctx context.Context, k cache.Kind, since revs.Rev, wait time.Duration) (cache.Delta, error)
 }
 
 // Decoder decodes the content of objects. Invalid objects are left out or
@@ -178,10 +181,23 @@
 	}
 }
 
-// readNext reads all objects of a kind, or waits for changes after rev.
-func (r *Relay) readNext(ctx context.Context, k cache.Kind, rev uint64, kr *kindReader) (cache.Delta, error) {
+// OlderListError reports a list of the store that is older than the cached
+// objects, although the store is not in a new era.
+type OlderListError struct{ Rev, Cached revs.Rev }
+
+func (e *OlderListError) Error() string {
+	return fmt.Sprintf("the store's list is at revision %v, the cached objects are at %v", e.Rev, e.Cached)
+}
+
+// readNext reads all objects of a kind, or waits for changes after rev. It returns
+// an *OlderListError for a list that cannot replace the cached objects.
+func (r *Relay) readNext(ctx context.Context, k cache.Kind, rev revs.Rev, kr *kindReader) (cache.Delta, error) {
 	if rev == 0 || kr.fullRead {
-		return r.Store.List(ctx, k, listTimeout<<min(kr.failures, maxListDoublings))
+		d, err := r.Store.List(ctx, k, listTimeout<<min(kr.failures, maxListDoublings))
+		if err == nil && d.Rev < rev {
+			err = &OlderListError{d.Rev, rev}
+		}
+		return d, err
 	}
 	if kr.firstWatch {
 		return r.Store.Watch(ctx, k, rev, firstWatchWait)
@@ -202,10 +218,10 @@
 
 // callFailed handles a failed call. It waits before the next one, unless the
 // store answered that all objects must be read again.
-func (kr *kindReader) callFailed(ctx context.Context, rev uint64, err error) {
+func (kr *kindReader) callFailed(ctx context.Context, rev revs.Rev, err error) {
 	var gone *store.GoneError
 	if errors.As(err, &gone) {
-		kr.r.Log.Info("store history expired, reading all objects", "kind", kr.kind, "rev", rev)
+		kr.r.Log.Info("store history expired, reading all objects", "kind", kr.kind, "rev", rev, "err", err)
 		kr.fullRead = true
 		return
 	}
@@ -227,7 +243,7 @@
 }
 
 // callSucceeded resets the state after a call that succeeded.
-func (kr *kindReader) callSucceeded(rev uint64) {
+func (kr *kindReader) callSucceeded(rev revs.Rev) {
 	if downtime, wasDown := kr.outage.RecordSuccess(kr.r.Clock()); wasDown {
 		kr.r.Log.Info("store regained", "kind", kr.kind, "rev", rev, "after", downtime)
 	}
@@ -244,8 +260,11 @@
 	defer r.cacheMu.Unlock()
 	before := r.cache.Revs()[d.Kind]
 	update, ok := r.cache.Apply(at, d)
+	if before != 0 && d.Rev.Era() != before.Era() {
+		r.Log.Warn("store came back from an older copy", "kind", d.Kind, "rev", d.Rev, "before", before)
+	}
 	if d.Full {
-		r.Log.Info("store list read", "kind", d.Kind, "rev", d.Rev, "before", before, "objects", len(d.Objects), "newestObject", newestRev(d.Objects), "ignored", d.Rev < before)
+		r.Log.Info("store list read", "kind", d.Kind, "rev", d.Rev, "before", before, "objects", len(d.Objects), "newestObject", newestRev(d.Objects))
 	}
 	if !ok {
 		r.Log.Warn("store changes do not follow the cached revision", "kind", d.Kind, "since", d.Since, "rev", d.Rev)
@@ -256,8 +275,8 @@
 }
 
 // newestRev returns the highest revision of objects.
-func newestRev(objects []cache.Object) uint64 {
-	highest := uint64(0)
+func newestRev(objects []cache.Object) revs.Rev {
+	highest := revs.Rev(0)
 	for _, o := range objects {
 		highest = max(highest, o.Rev)
 	}
--- a/pkg/relay/reader_test.go
+++ b/pkg/relay/reader_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"ebonypaddle/pkg/cache"
 )
@@ -71,3 +72,68 @@
 	calls := s.callsOf("second") - before
 	assert.Assert(t, calls <= 10, "%d calls", calls)
 }
+
+// Guards against a change that is acknowledged but not in force, settings that go
+// back, and calls without a pause, after the store came back from an older copy.
+func TestStoreRestoredFromOlderCopy(t *testing.T) {
+	t.Parallel()
+	for name, lost := range map[string]uint64{"revisions given out again": 1, "lower revisions": 5} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, _, first := startReader(t)
+			second := startInstance(t, s, "second", 1, first.Control)
+			var v uint64
+			for range 6 {
+				v = s.change()
+			}
+			both := func() bool { return first.version() == v && second.version() == v }
+			waitUntil(t, "both instances have the settings", both)
+			s.restore(t, lost, true)
+			before := s.callsOf("first")
+			for range 10 {
+				time.Sleep(100 * time.Millisecond)
+				assert.Assert(t, both(), "versions %d and %d are in force instead of %d", first.version(), second.version(), v)
+			}
+			calls := s.callsOf("first") - before
+			assert.Assert(t, calls <= 4*int(cache.Kinds), "%d calls in a second", calls)
+			for s.change() < v+1 { // the operator writes what was lost again
+				continue
+			}
+			v++
+			waitWithin(t, first.ReadPolicy.MaxDelay, "the change is in force", both)
+		})
+	}
+}
+
+// Guards against lists without a pause while the store answers with older objects
+// than the cached ones.
+func TestOlderListIsNotRepeatedAtOnce(t *testing.T) {
+	t.Parallel()
+	s, _, first := startReader(t)
+	for range 3 {
+		s.change()
+	}
+	v := s.change()
+	waitUntil(t, "the instance has the settings", func() bool { return first.version() == v })
+	s.restore(t, 2, false)
+	before := s.callsOf("first")
+	time.Sleep(time.Second)
+	assert.Equal(t, first.version(), v)
+	calls := s.callsOf("first") - before
+	assert.Assert(t, calls <= 4*int(cache.Kinds), "%d calls in a second", calls)
+	for s.change() < v+1 {
+		continue
+	}
+	waitUntil(t, "the change is in force", func() bool { return first.version() == v+1 })
+}
+
+// waitWithin waits until ok returns true, for up to limit.
+func waitWithin(t *testing.T, limit time.Duration, what string, ok func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if ok() {
+			return poll.Success()
+		}
+		return poll.Continue("waiting until %s", what)
+	}, poll.WithTimeout(limit), poll.WithDelay(10*time.Millisecond))
+}
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -20,10 +20,10 @@
 
 	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/poll"
 
 	"ebonypaddle/pkg/admin"
 	"ebonypaddle/pkg/cache"
+	"ebonypaddle/pkg/revs"
 	"ebonypaddle/pkg/router"
 	"ebonypaddle/pkg/stats"
 	"ebonypaddle/pkg/store"
@@ -34,8 +34,9 @@
 // instances.
 type fakeStore struct {
 	mu         sync.Mutex
-	rev        uint64
+	rev        revs.Rev
 	version    uint64
+	versionRev revs.Rev
 	changed    chan struct{}
 	calls      map[string]int // by instance
 	watchWaits map[string][]time.Duration
@@ -52,7 +53,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.rev++
-	s.version = s.rev
+	s.version++
+	s.versionRev = s.rev
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return s.version
@@ -64,6 +66,24 @@
 	s.down = down
 }
 
+// restore makes the store come back from a copy that is n changes old, in a new
+// era if newEra is set.
+func (s *fakeStore) restore(t *testing.T, n uint64, newEra bool) {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	era := s.rev.Era()
+	if newEra {
+		era++
+	}
+	rev, err := revs.New(era, s.rev.Counter()-n)
+	assert.NilError(t, err)
+	s.rev, s.versionRev = rev, rev
+	s.version -= n
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *fakeStore) downFor(name string) bool { return s.down || slices.Contains(s.refused, name) }
 
 func (s *fakeStore) refuse(names ...string) {
@@ -98,19 +118,19 @@
 
 // delta returns the objects of a kind changed after a revision. The caller
 // holds mu.
-func (s *fakeStore) delta(k cache.Kind, since uint64) cache.Delta {
+func (s *fakeStore) delta(k cache.Kind, since revs.Rev) cache.Delta {
 	d := cache.Delta{Kind: k, Since: since, Rev: s.rev, Full: since == 0}
-	if k == cache.Settings && s.version > since {
+	if k == cache.Settings && s.versionRev > since {
 		spec, err := cache.Pack(fmt.Append(nil, s.version))
 		if err != nil {
 			panic(err)
 		}
-		d.Objects = []cache.Object{{Name: "main", Rev: s.version, Spec: spec}}
+		d.Objects = []cache.Object{{Name: "main", Rev: s.versionRev, Spec: spec}}
 	}
 	return d
 }
 
-func (v storeView) Watch(ctx context.Context, k cache.Kind, since uint64, wait time.Duration) (cache.Delta, error) {
+func (v storeView) Watch(ctx context.Context, k cache.Kind, since revs.Rev, wait time.Duration) (cache.Delta, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	v.s.mu.Lock()
@@ -122,6 +142,8 @@
 		switch {
 		case down:
 			return cache.Delta{}, &store.UnavailableError{Err: errDown}
+		case since.Era() != d.Rev.Era() || since > d.Rev:
+			return cache.Delta{}, &store.GoneError{}
 		case len(d.Objects) > 0 || ctx.Err() != nil:
 			return d, nil
 		}
@@ -234,12 +256,7 @@
 // waitUntil waits until ok returns true. The timeout only ends a failing run.
 func waitUntil(t *testing.T, what string, ok func() bool) {
 	t.Helper()
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if ok() {
-			return poll.Success()
-		}
-		return poll.Continue("waiting until %s", what)
-	}, poll.WithTimeout(30*time.Second), poll.WithDelay(10*time.Millisecond))
+	waitWithin(t, 30*time.Second, what, ok)
 }
 
 // Guards against instances that each read the store, and against changes that
--- a/pkg/router/balancer_test.go
+++ b/pkg/router/balancer_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"ebonypaddle/pkg/revs"
 	"ebonypaddle/pkg/wire"
 )
 
@@ -30,7 +31,7 @@
 }
 
 func testSettings(version uint64, addrs ...netip.AddrPort) *Settings {
-	set := &Settings{Version: version, Rev: version, Services: []Service{{Name: "s", ColdDuration: 2 * time.Second}}}
+	set := &Settings{Version: version, Rev: revs.Rev(version), Services: []Service{{Name: "s", ColdDuration: 2 * time.Second}}}
 	for _, a := range addrs {
 		set.Routes = append(set.Routes, Route{Addr: a, WeightedServices: []WeightedService{{"s", 1}}, Repeatable: a == serviceAddr, LatencyTarget: 150 * time.Millisecond})
 	}
--- a/pkg/router/records.go
+++ b/pkg/router/records.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"ebonypaddle/pkg/revs"
 )
 
 // ServerID identifies one incarnation of a backend server.
@@ -24,7 +26,7 @@
 	// StartedAt is the start time of the server process.
 	StartedAt time.Time
 	// Rev is the store's revision of the record.
-	Rev uint64
+	Rev revs.Rev
 }
 
 // WeightedService is a service and its weight in the distribution of a route's
@@ -60,9 +62,10 @@
 // Settings are the routes and services that operators configured.
 type Settings struct {
 	// Version orders settings, Rev is the store's revision of them.
-	Version, Rev uint64
-	Routes       []Route
-	Services     []Service
+	Version  uint64
+	Rev      revs.Rev
+	Routes   []Route
+	Services []Service
 	// IdleTimeout is the time without packets after which the state of a flow
 	// may be discarded; 0 selects a default.
 	IdleTimeout time.Duration
@@ -72,7 +75,7 @@
 // is set. Rev is the store's revision of the change.
 type Change[T any] struct {
 	Name    string
-	Rev     uint64
+	Rev     revs.Rev
 	Deleted bool
 	Value   T
 }
--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"ebonypaddle/pkg/logs"
+	"ebonypaddle/pkg/revs"
 )
 
 // server is the state of one backend server.
@@ -65,7 +66,7 @@
 // start.
 func (lb *Balancer) ApplyServers(now time.Time, changes []Change[Server], full bool) {
 	first := full && len(lb.byName) == 0
-	leaving, highestRev := 0, uint64(0)
+	leaving, highestRev := 0, revs.Rev(0)
 	seen := make(map[string]bool, len(changes))
 	for _, c := range changes {
 		seen[c.Name] = true
