router, objs: an earlier record of a server's process does not replace a later one

What callers would see: a leaving server gets new flows again, or a server counts as cold again, when the store comes back from an older copy or carries out a write late.

Cause: of two records of a server, the one with the higher revision of the store counted as newer. The class is that of the restored store: the order in which the store holds states is taken for the order in which their writer wrote them.

Change: a record carries the sequence number that its process gave it. Of the same process, a record with a lower number proves that there is a record, so that one that was removed is back, and changes nothing else. The next record with a higher number applies as before.

--- a/emul/soak/deployment_test.go
+++ b/emul/soak/deployment_test.go
@@ -344,11 +344,12 @@
 // the change.
 func (srv *backendServer) putRecord() time.Time {
 	srv.mu.Lock()
-	state := srv.state
+	srv.sequence++
+	state, sequence := srv.state, srv.sequence
 	srv.mu.Unlock()
 	return srv.dep.store.put("servers", srv.name, map[string]any{
 		"Service": srv.service, "Address": srv.addr, "Zone": srv.domain, "Version": "v1", "Capacity": 2,
-		"State": state, "WarmupLeftMs": 0, "Sequence": 1, "born": 1,
+		"State": state, "WarmupLeftMs": 0, "Sequence": sequence, "born": 1,
 	})
 }
 
--- a/emul/soak/endpoints_test.go
+++ b/emul/soak/endpoints_test.go
@@ -27,6 +27,7 @@
 	noOpenAfter time.Time
 	dead        bool
 	state       string // state in its record
+	sequence    uint64 // of its latest record
 }
 
 // serverFlow is the server's end of a flow.
--- a/pkg/router/records.go
+++ b/pkg/router/records.go
@@ -23,8 +23,10 @@
 	Leaving bool
 	// ColdTimeLeft is the remaining time of the server's cold start.
 	ColdTimeLeft time.Duration
-	// StartedAt is the start time of the server process.
+	// StartedAt is the start time of the server process. Sequence counts the
+	// records that the process wrote.
 	StartedAt time.Time
+	Sequence  uint64
 	// Rev is the store's revision of the record.
 	Rev revs.Rev
 }
--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -123,6 +123,11 @@
 		if logNew {
 			lb.Log.Info("server added", "server", c.Name, "service", srv.Service, "domain", srv.Domain, "addr", srv.Addr, "leaving", srv.Leaving, "coldFor", srv.ColdTimeLeft, "rev", c.Rev)
 		}
+	} else if c.Value.Sequence < srv.Sequence {
+		// The process wrote this record before the known one. The store came back
+		// from an older copy, or carried out a write late.
+		lb.Log.Info("older server record ignored", "server", c.Name, "leaving", srv.Leaving, "rev", c.Rev)
+		c.Value, c.Value.ColdTimeLeft = srv.Server, max(srv.coldUntil.Sub(now), 0)
 	} else if srv.Leaving != c.Value.Leaving {
 		lb.Log.Info("server changed", "server", c.Name, "leaving", c.Value.Leaving, "rev", c.Rev)
 	}
