router, relay: a restored store does not undo operators' marks at once

Cause: a full list replaced the known exclusions, also when the store had lost what was written since its copy. Routes were safe: settings only advance by their version.

Change: the relay tells the balancer when the objects of a kind move to a new era.

Evidence: TestRestoredStoreKeepsDomains (lost exclusion, lost return) and TestRestoredStoreKeepsExclusions, on two running instances, fail without the change.

--- a/pkg/relay/reader.go
+++ b/pkg/relay/reader.go
@@ -289,12 +289,17 @@
 func (r *Relay) applyUpdates(updates []cache.Delta) {
 	began := r.Clock()
 	var todo []func()
+	restored := false
 	for _, d := range updates {
+		restored = restored || d.Since != 0 && d.Since.Era() != d.Rev.Era()
 		if len(d.Objects) > 0 || d.Full {
 			todo = append(todo, r.decodeUpdate(d))
 		}
 	}
 	r.mu.Lock()
+	if restored {
+		r.Balancer.StoreRestored(r.Clock())
+	}
 	for _, apply := range todo {
 		apply()
 	}
--- a/pkg/relay/reader_test.go
+++ b/pkg/relay/reader_test.go
@@ -137,3 +137,23 @@
 		return poll.Continue("waiting until %s", what)
 	}, poll.WithTimeout(limit), poll.WithDelay(10*time.Millisecond))
 }
+
+// Guards against a failure domain that comes back into use on an instance at once
+// when the store lost its exclusion, whether the instance reads the store or not.
+func TestRestoredStoreKeepsExclusions(t *testing.T) {
+	t.Parallel()
+	s, _, first := startReader(t)
+	second := startInstance(t, s, "second", 1, first.Control)
+	excluded := func(n int) func() bool {
+		return func() bool { return first.excluded() == n && second.excluded() == n }
+	}
+	s.change()
+	s.exclude()
+	waitUntil(t, "both instances have the exclusion", excluded(1))
+	s.restore(t, 1, true)
+	for range 10 {
+		time.Sleep(100 * time.Millisecond)
+		assert.Assert(t, excluded(1)())
+	}
+	waitUntil(t, "the state of the store applies", excluded(0))
+}
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -37,6 +37,7 @@
 	rev        revs.Rev
 	version    uint64
 	versionRev revs.Rev
+	domainRev  revs.Rev // of the exclusion of failure domain "b", 0 for none
 	changed    chan struct{}
 	calls      map[string]int // by instance
 	watchWaits map[string][]time.Duration
@@ -66,6 +67,16 @@
 	s.down = down
 }
 
+// exclude takes failure domain "b" out.
+func (s *fakeStore) exclude() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	s.domainRev = s.rev
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // restore makes the store come back from a copy that is n changes old, in a new
 // era if newEra is set.
 func (s *fakeStore) restore(t *testing.T, n uint64, newEra bool) {
@@ -78,7 +89,7 @@
 	}
 	rev, err := revs.New(era, s.rev.Counter()-n)
 	assert.NilError(t, err)
-	s.rev, s.versionRev = rev, rev
+	s.rev, s.versionRev, s.domainRev = rev, rev, 0
 	s.version -= n
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -127,6 +138,9 @@
 		}
 		d.Objects = []cache.Object{{Name: "main", Rev: s.versionRev, Spec: spec}}
 	}
+	if k == cache.Domains && s.domainRev > since {
+		d.Objects = []cache.Object{{Name: "b", Rev: s.domainRev}}
+	}
 	return d
 }
 
@@ -161,8 +175,12 @@
 func (versionDecoder) Servers([]cache.Object) ([]router.Change[router.Server], []error) {
 	return nil, nil
 }
-func (versionDecoder) Domains([]cache.Object) ([]router.Change[router.ExcludedDomain], []error) {
-	return nil, nil
+func (versionDecoder) Domains(objects []cache.Object) ([]router.Change[router.ExcludedDomain], []error) {
+	var out []router.Change[router.ExcludedDomain]
+	for _, o := range objects {
+		out = append(out, router.Change[router.ExcludedDomain]{Name: o.Name, Rev: o.Rev})
+	}
+	return out, nil
 }
 func (versionDecoder) Settings(objects []cache.Object) ([]router.Settings, []error) {
 	var out []router.Settings
@@ -253,6 +271,14 @@
 	return v
 }
 
+// excluded returns the number of failure domains that are out.
+func (i *instance) excluded() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	n, _ := i.Balancer.Vars()["domainsOut"].(int)
+	return n
+}
+
 // waitUntil waits until ok returns true. The timeout only ends a failing run.
 func waitUntil(t *testing.T, what string, ok func() bool) {
 	t.Helper()
--- a/pkg/router/balancer.go
+++ b/pkg/router/balancer.go
@@ -68,7 +68,7 @@
 	settings         *Settings
 	routes           map[netip.AddrPort]*Route
 	services         map[string]Service
-	excludedDomains  map[string]time.Time // by name, with the time of exclusion
+	marks            domainMarks
 	byName           map[string]*server
 	byToken          map[uint32]*server
 	pools            map[string]*pool
@@ -102,7 +102,7 @@
 	if lb.choose == nil {
 		lb.choose = (*Balancer).fairServer
 	}
-	lb.excludedDomains = map[string]time.Time{}
+	lb.marks.start()
 	lb.byName = map[string]*server{}
 	lb.byToken = map[uint32]*server{}
 	lb.pools = map[string]*pool{}
@@ -247,6 +247,7 @@
 func (lb *Balancer) Tick(now time.Time) {
 	lb.beginCall(now)
 	lb.expireRemoved(now)
+	lb.expireRestored(now)
 	if now.Sub(lb.cleanedAt) < time.Second {
 		return
 	}
--- a/pkg/router/place.go
+++ b/pkg/router/place.go
@@ -114,7 +114,7 @@
 // usable reports whether a server may get new flows, regardless of its health
 // and load.
 func (lb *Balancer) usable(srv *server) bool {
-	_, excluded := lb.excludedDomains[srv.Domain]
+	_, excluded := lb.marks.excluded[srv.Domain]
 	return !excluded && !srv.Leaving && !srv.noNewFlows && srv.token != 0 && lb.byName[srv.name] == srv
 }
 
--- a/pkg/router/restored_test.go
+++ b/pkg/router/restored_test.go
@@ -53,3 +53,56 @@
 		})
 	}
 }
+
+// domainList returns the records of excluded failure domains.
+func domainList(names ...string) []Change[ExcludedDomain] {
+	var out []Change[ExcludedDomain]
+	for _, n := range names {
+		out = append(out, Change[ExcludedDomain]{Name: n, Value: ExcludedDomain{Domain: n}})
+	}
+	return out
+}
+
+// Guards against a failure domain that comes back into use, or goes out of use, with
+// a store that lost the operators' change, and against a state that is not the
+// store's once operators had the time to write the change again.
+func TestRestoredStoreKeepsDomains(t *testing.T) {
+	const out, in = true, false
+	for _, tc := range []struct {
+		name   string
+		before func(lb *Balancer)
+		listed []Change[ExcludedDomain]
+		later  []Change[ExcludedDomain] // changes after the list
+		during bool                     // whether domain "a" is out for the grace period
+		after  bool
+	}{
+		{"lost exclusion", func(lb *Balancer) { lb.ApplyDomains(startTime, domainList("a"), false) }, nil, nil, out, in},
+		{"lost exclusion written again", func(lb *Balancer) { lb.ApplyDomains(startTime, domainList("a"), false) }, nil, domainList("a"), out, out},
+		{"return after the list", func(lb *Balancer) { lb.ApplyDomains(startTime, domainList("a"), false) }, domainList("a"), []Change[ExcludedDomain]{{Name: "a", Deleted: true}}, in, in},
+		{"lost return", func(lb *Balancer) {
+			lb.ApplyDomains(startTime, domainList("a"), false)
+			lb.ApplyDomains(startTime, []Change[ExcludedDomain]{{Name: "a", Deleted: true}}, false)
+		}, domainList("a"), nil, in, out},
+		{"new exclusion", func(*Balancer) {}, domainList("a"), nil, out, out},
+		{"exclusion after the list", func(*Balancer) {}, nil, domainList("a"), out, out},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			lb := newBalancer(serverRecord(1, "a"))
+			isOut := func() bool {
+				_, excluded := lb.marks.excluded["a"]
+				return excluded
+			}
+			tc.before(lb)
+			lb.StoreRestored(startTime)
+			lb.ApplyDomains(startTime, tc.listed, true)
+			lb.ApplyDomains(startTime, tc.later, false)
+			end := startTime.Add(lb.Limits.RemovalGrace)
+			runTicks(lb, startTime, end)
+			assert.Equal(t, isOut(), tc.during)
+			lb.Tick(end)
+			assert.Equal(t, isOut(), tc.after)
+			lb.ApplyDomains(end, nil, true)
+			assert.Assert(t, !isOut(), "a later list does not apply")
+		})
+	}
+}
--- a/pkg/router/vars.go
+++ b/pkg/router/vars.go
@@ -23,7 +23,7 @@
 		"openTimeMs": lb.OpenTime.Map(), "answerTimeMs": lb.AnswerTime.Map(),
 		"servers": len(lb.byName), "serversLeaving": leaving, "serversLapsed": removed,
 		"flows": len(lb.flows.entries), "unknownTokens": len(lb.unknownTokens),
-		"domainsOut": len(lb.excludedDomains), "domainsCut": unreachable, "routes": len(lb.routes),
+		"domainsOut": len(lb.marks.excluded), "domainsCut": unreachable, "routes": len(lb.routes),
 	}
 	if lb.settings != nil {
 		v["version"], v["settingsRev"] = lb.settings.Version, lb.settings.Rev
