relay, cache: few lists of the store when it comes back from an older copy

An instance below the root that has to list now waits for one to two times the delay of its level, 150 to 900 ms, whether others confirm its objects first, and lists only if none sent newer ones. The root lists at once.

TestFewListsAfterRestore: 36 to 42 lists of 20 instances without the change, 8 to 16 with it, bound 30. The tests' addresses have an IP address each, since one of 10 runs with 20 instances got a port twice.

--- a/pkg/cache/readpolicy.go
+++ b/pkg/cache/readpolicy.go
@@ -55,5 +55,11 @@
 		}
 		return !p.FirstStart || now.Sub(p.StartedAt) >= wait
 	}
-	return level == 0 || now.Sub(confirmedAt) >= p.StaleAfter()+staleLevelDelay*time.Duration(min(level, maxDelayedLevels))
+	return level == 0 || now.Sub(confirmedAt) >= p.StaleAfter()+LevelDelay(level)
+}
+
+// LevelDelay returns how long an instance at a level of the tree waits for what
+// those above it read.
+func LevelDelay(level int) time.Duration {
+	return staleLevelDelay * time.Duration(min(level, maxDelayedLevels))
 }
--- a/pkg/relay/reader.go
+++ b/pkg/relay/reader.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"ebonypaddle/pkg/cache"
@@ -216,13 +217,14 @@
 	failures   int // consecutive failed calls
 }
 
-// callFailed handles a failed call. It waits before the next one, unless the
-// store answered that all objects must be read again.
+// callFailed handles a failed call. It waits before the next one. If the store
+// answered that all objects must be read again, it waits only for the instances
+// above to read them.
 func (kr *kindReader) callFailed(ctx context.Context, rev revs.Rev, err error) {
 	var gone *store.GoneError
 	if errors.As(err, &gone) {
 		kr.r.Log.Info("store history expired, reading all objects", "kind", kr.kind, "rev", rev, "err", err)
-		kr.fullRead = true
+		kr.fullRead = !kr.awaitOthers(ctx, rev)
 		return
 	}
 	kr.failures++
@@ -242,6 +244,22 @@
 	wait.Pause(ctx, kr.retryDelay)
 }
 
+// awaitOthers waits until others confirm the objects of this instance, for one to
+// two times the delay of its level in the tree. It reports whether they sent newer
+// objects than those at rev. After an outage all instances read the store, and would
+// otherwise all list its objects if its history has ended.
+func (kr *kindReader) awaitOthers(ctx context.Context, rev revs.Rev) (updated bool) {
+	kr.r.cacheMu.Lock()
+	delay := cache.LevelDelay(kr.r.level)
+	kr.r.cacheMu.Unlock()
+	delay += time.Duration(rand.Int64N(int64(delay) + 1))
+	kr.r.awaitUpdate(ctx, delay, func() bool {
+		updated = kr.r.cache.Revs()[kr.kind] != rev
+		return !kr.r.reading
+	})
+	return updated
+}
+
 // callSucceeded resets the state after a call that succeeded.
 func (kr *kindReader) callSucceeded(rev revs.Rev) {
 	if downtime, wasDown := kr.outage.RecordSuccess(kr.r.Clock()); wasDown {
--- a/pkg/relay/reader_test.go
+++ b/pkg/relay/reader_test.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -157,3 +159,31 @@
 	}
 	waitUntil(t, "the state of the store applies", excluded(0))
 }
+
+// Guards against instances that each list all objects when the store comes back from
+// an older copy after an outage, in which all of them began to read it.
+func TestFewListsAfterRestore(t *testing.T) {
+	t.Parallel()
+	s, v, first := startReader(t)
+	all := []*instance{first}
+	for i := range 19 {
+		all = append(all, startInstance(t, s, fmt.Sprint(i), 1, first.Control))
+	}
+	every := func(ok func(i *instance) bool) func() bool {
+		return func() bool { return !slices.ContainsFunc(all, func(i *instance) bool { return !ok(i) }) }
+	}
+	waitUntil(t, "one instance reads", every(func(i *instance) bool { return i.version() == v && i.readsStore() == (i == first) }))
+	s.setDown(true)
+	waitUntil(t, "all instances read", every((*instance).readsStore))
+	time.Sleep(minRetryDelay * 2 / 3) // the store is back before most instances try again
+	s.restore(t, 0, true)
+	s.mu.Lock()
+	s.lists = 0
+	s.mu.Unlock()
+	s.setDown(false)
+	v = s.change()
+	waitUntil(t, "one instance reads", every(func(i *instance) bool { return i.version() == v && i.readsStore() == (i == first) }))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	assert.Assert(t, s.lists <= len(all)*int(cache.Kinds)/2, "%d lists", s.lists)
+}
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -40,6 +40,7 @@
 	domainRev  revs.Rev // of the exclusion of failure domain "b", 0 for none
 	changed    chan struct{}
 	calls      map[string]int // by instance
+	lists      int            // of all instances
 	watchWaits map[string][]time.Duration
 	down       bool
 	refused    []string // names of the instances whose calls fail
@@ -124,6 +125,7 @@
 	if v.s.downFor(v.name) {
 		return cache.Delta{}, &store.UnavailableError{Err: errDown}
 	}
+	v.s.lists++
 	return v.s.delta(k, 0), nil
 }
 
@@ -222,10 +224,14 @@
 	return s, v, first
 }
 
-// freeAddr returns a loopback address that is not in use.
+var freeAddrs atomic.Uint32 // number of addresses that freeAddr returned
+
+// freeAddr returns a loopback address that is not in use for TCP or UDP. Each has an
+// IP address of its own, so that no port is given out twice.
 func freeAddr(t *testing.T) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	n := freeAddrs.Add(1)
+	l, err := net.Listen("tcp4", netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 61, byte(n >> 8), byte(n)}), 0).String())
 	assert.NilError(t, err)
 	a := netip.MustParseAddrPort(l.Addr().String())
 	assert.NilError(t, l.Close())
