object: the simulated store can come back from an older copy

Server.Restore and POST /restore undo the last revisions, with changes of the instance list that are not published yet, and begin a new era, which the header Store-Era of all responses names. Revisions are given out again, and a watch from one that the store does not have gets status 410. The client's constant for the header is exported.

--- a/emul/object/object_test.go
+++ b/emul/object/object_test.go
@@ -187,3 +187,34 @@
 	_, err := f.Get(t.Context(), store.KindNode, name)
 	assert.Assert(t, err != nil)
 }
+
+// Guards against a simulated store that keeps what it must have lost, or that hides
+// from a watch that it came back from an older copy.
+func TestRestore(t *testing.T) {
+	f := newFixture(t, 0)
+	rev := f.put(t, store.KindNode, name, 1, `{"v":2}`)
+	f.put(t, store.KindKey, "k", 0, `{}`)
+	f.put(t, store.KindInstance, "i1", 0, `{"state":"live"}`) // not published yet
+	res, err := http.Post(f.Addrs[0]+"/restore", "application/json", strings.NewReader(`{"revisions":3}`))
+	assert.NilError(t, err)
+	res.Body.Close()
+	o, err := f.Get(t.Context(), store.KindNode, name)
+	assert.NilError(t, err)
+	var v struct{ V int }
+	assert.NilError(t, json.Unmarshal(o.Value, &v))
+	assert.Equal(t, v.V, 1)
+	var missing *store.NotFoundError
+	_, err = f.Get(t.Context(), store.KindKey, "k")
+	assert.Assert(t, errors.As(err, &missing), "%v", err)
+	var gone *store.GoneError
+	_, _, err = f.Watch(t.Context(), rev, 0)
+	assert.Assert(t, errors.As(err, &gone), "%v", err)
+	f.now.Add(int64(time.Second))
+	objs, _, err := f.List(t.Context(), store.KindInstance)
+	assert.NilError(t, err)
+	assert.Equal(t, len(objs), 0, "a write that was lost is published")
+	res, err = http.Get(f.Addrs[0] + "/v1/objects?prefix=node")
+	assert.NilError(t, err)
+	res.Body.Close()
+	assert.Equal(t, res.Header.Get(store.EraHeader), "1")
+}
--- a/emul/object/server.go
+++ b/emul/object/server.go
@@ -68,6 +68,19 @@
 	return defaultHistoryEvents
 }
 
+// Restore makes the store come back from a copy that is n revisions old. What was
+// written since is lost, and its revisions are given out again.
+func (s *Server) Restore(n uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ensureState().restore(n)
+}
+
+// setEra sets the header with the era of the state. The caller holds mu.
+func (s *Server) setEra(w http.ResponseWriter) {
+	w.Header().Set(store.EraHeader, strconv.FormatUint(s.ensureState().era, 10))
+}
+
 // SetFault replaces the current faults.
 func (s *Server) SetFault(f Fault) {
 	s.mu.Lock()
@@ -82,7 +95,7 @@
 	return s.calls
 }
 
-// Handler returns a handler for the object API, /fault and /calls.
+// Handler returns a handler for the object API, /fault, /restore and /calls.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/objects", s.withFaults(s.handleList))
@@ -91,6 +104,7 @@
 	mux.HandleFunc("DELETE /v1/objects/{kind}/{name}", s.withFaults(s.handleWrite))
 	mux.HandleFunc("GET /v1/watch", s.withFaults(s.handleWatch))
 	mux.HandleFunc("POST /fault", s.handleSetFault)
+	mux.HandleFunc("POST /restore", s.handleRestore)
 	mux.HandleFunc("GET /calls", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Calls()) })
 	return mux
 }
@@ -102,6 +116,7 @@
 		s.mu.Lock()
 		f := s.fault
 		s.countCall(r)
+		s.setEra(w)
 		s.mu.Unlock()
 		if f.Slow > 0 && wait.For(r.Context(), time.Duration(f.Slow)) != nil {
 			return
@@ -135,6 +150,19 @@
 	writeJSON(w, http.StatusOK, f)
 }
 
+// handleRestore calls Restore with the number of revisions in the request.
+func (s *Server) handleRestore(w http.ResponseWriter, r *http.Request) {
+	var req struct {
+		Revisions uint64 `json:"revisions"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.Restore(req.Revisions)
+	writeJSON(w, http.StatusOK, req)
+}
+
 // visibleObjects returns the objects that reads see now, and their revision.
 func (s *Server) visibleObjects() (map[string]store.Object, uint64) {
 	s.ensureState().publishDue(s.Clock(), s.historyLimit())
@@ -144,6 +172,7 @@
 func (s *Server) handleList(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	m, rev := s.visibleObjects()
+	s.setEra(w)
 	s.mu.Unlock()
 	writeJSON(w, http.StatusOK, struct {
 		Rev     uint64         `json:"rev"`
@@ -154,6 +183,7 @@
 func (s *Server) handleGet(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	m, _ := s.visibleObjects()
+	s.setEra(w)
 	s.mu.Unlock()
 	o, ok := m[r.PathValue("kind")+"/"+r.PathValue("name")]
 	if !ok {
@@ -182,6 +212,7 @@
 	if lose {
 		s.fault.LoseAnswers--
 	}
+	s.setEra(w)
 	s.mu.Unlock()
 	status := http.StatusOK
 	if !ok {
@@ -211,6 +242,7 @@
 		_, rev := s.visibleObjects()
 		evs, ok := s.state.eventsBetween(since, rev)
 		changed := s.state.changed
+		s.setEra(w)
 		s.mu.Unlock()
 		if !ok {
 			http.Error(w, "since is too old", http.StatusGone)
--- a/emul/object/state.go
+++ b/emul/object/state.go
@@ -40,6 +40,7 @@
 // the first of events, at revision baseRev.
 type state struct {
 	rev     uint64
+	era     uint64                  // how often the store came back from an older copy
 	current map[string]store.Object // includes delayed changes; used for conditional updates
 	base    map[string]store.Object
 	baseRev uint64
@@ -83,6 +84,17 @@
 	}
 }
 
+// restore makes the state that of n revisions ago, or that before the first kept
+// event if it is newer. It begins a new era.
+func (s *state) restore(n uint64) {
+	s.current, s.rev = s.objectsAt(n)
+	s.delayed = nil
+	s.events = slices.DeleteFunc(s.events, func(e publishedEvent) bool { return e.ev.Rev > s.rev })
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *state) publish(e publishedEvent, limit int) {
 	s.events = append(s.events, e)
 	for len(s.events) > limit {
@@ -108,9 +120,9 @@
 }
 
 // eventsBetween returns the events after rev up to the replica's revision upTo.
-// It returns false if some of them are no longer kept.
+// It returns false if some of them are no longer kept, or if there is no revision rev.
 func (s *state) eventsBetween(rev, upTo uint64) ([]store.Event, bool) {
-	if rev < s.baseRev {
+	if rev < s.baseRev || rev > s.rev {
 		return nil, false
 	}
 	evs := []store.Event{}
--- a/pkg/store/client.go
+++ b/pkg/store/client.go
@@ -29,9 +29,9 @@
 // which bounds the memory of one call.
 const maxResponse = 256 << 20
 
-// eraHeader is the header of all responses that says how often the store came back
+// EraHeader is the header of all responses that says how often the store came back
 // from an older copy of itself. A store without it is in era 0.
-const eraHeader = "Store-Era"
+const EraHeader = "Store-Era"
 
 // maxPreallocated bounds the buffer that is allocated for the stated length of a
 // response, in bytes. Pages are at most 1 MB.
@@ -194,9 +194,9 @@
 	if err != nil {
 		return 0, transportError(err)
 	}
-	if v := res.Header.Get(eraHeader); v != "" {
+	if v := res.Header.Get(EraHeader); v != "" {
 		if era, err = strconv.ParseUint(v, 10, 64); err != nil {
-			return 0, &UnavailableError{Cause: CauseMalformed, Err: fmt.Errorf("header %s: %w", eraHeader, err)}
+			return 0, &UnavailableError{Cause: CauseMalformed, Err: fmt.Errorf("header %s: %w", EraHeader, err)}
 		}
 	}
 	if err := statusError(req, res.StatusCode, b); err != nil {
