store, daemon: revisions of ebonyd's store by era, lost settings do not revert

What operators saw, by the code: the store comes back from an older copy, the instance list raises its counter past the revision of the settings in force, and from then on a reader takes single changes of the new history over settings of the old one. Edits between the two are in force nowhere, and heartbeats compare equal counters of different states. Below that counter every accepted edit was ignored.

Change: the client returns revisions with the era, so that everything above compares these, and a watch answered in another era ends with a GoneError. A conditional write that takes effect in a later era than that of the object which was read ends with a RestoredError. An instance whose settings are in force moves to a later era when the store's settings are equal to its own or operators confirmed the era; until then it keeps its settings, as before with a lower revision. Weighed: taking the list of the new era over at once reverts accepted settings; taking it over after a grace period reverts them if nobody writes them again; merging by object is ambiguous, since a counter below the known one may be an older state or a new write.

--- /dev/null
+++ b/pkg/daemon/era_test.go
@@ -0,0 +1,61 @@
+package daemon
+
+import (
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"ebonypaddle/pkg/revs"
+	"ebonypaddle/pkg/store"
+)
+
+// Guards against accepted settings that revert when the store comes back from an
+// older copy and gives out their revisions again, and against an instance that
+// ignores the store for good after that.
+func TestRestoredStore(t *testing.T) {
+	same := []store.Object{{Kind: store.KindNode, Name: "/", Rev: 1, Value: []byte(`{"path":"/"}`)}, {Kind: store.KindNode, Name: "/k", Rev: 2, Value: []byte(`{"path":"/k"}`)}}
+	edited := append(same[:1:1], store.Object{Kind: store.KindNode, Name: "/k", Rev: 3, Value: []byte(`{"path":"/k","values":{"slots":9}}`)})
+	for _, tc := range []struct {
+		name      string
+		rev       uint64 // of the store; the instance is at 5
+		objects   []store.Object
+		confirmed uint64
+		adopted   bool
+	}{
+		{"settings lost, lower revision", 3, same[:1], 0, false},
+		{"settings lost, same revision", 5, same[:1], 0, false},
+		{"settings lost, higher revision", 9, same[:1], 0, false},
+		{"settings edited", 9, edited, 0, false},
+		{"settings equal, lower revision", 3, same, 0, true},
+		{"settings equal, higher revision", 9, same, 0, true},
+		{"confirmed by operators", 9, edited, 1, true},
+		{"another era confirmed by operators", 9, edited, 7, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := &fakePlatform{era: 1, rev: tc.rev, objects: tc.objects, confirmed: tc.confirmed}
+			d := newDaemon(t, p)
+			err := d.watchStore(t.Context())
+			rev := revs.Rev(d.rev())
+			if tc.adopted {
+				assert.NilError(t, err)
+				assert.Equal(t, rev.String(), "1."+revs.Rev(tc.rev).String())
+				assert.Equal(t, len(d.settings().Nodes), len(tc.objects))
+				assertFresh(t, d, true)
+				return
+			}
+			var lost *LostSettingsError
+			assert.Assert(t, errors.As(err, &lost), "%v", err)
+			assert.Equal(t, rev, revs.Rev(5))
+			assert.Equal(t, d.Counters.SettingsRegressed.Load(), uint64(1))
+			assertFresh(t, d, false)
+		})
+	}
+}
+
+// Guards against changes that are missed because a watch goes on in a new era.
+func TestWatchAfterRestore(t *testing.T) {
+	d := newDaemon(t, &fakePlatform{era: 1, rev: 9, events: []store.Event{{Rev: 9, Kind: store.KindNode, Name: "/k/order", Value: []byte(`{"generation":1,"values":{"slots":3}}`)}}})
+	assert.Assert(t, d.watchStore(t.Context()) != nil)
+	assert.Assert(t, d.settings().Nodes["/k/order"].Path == "")
+}
--- a/pkg/daemon/reader.go
+++ b/pkg/daemon/reader.go
@@ -212,7 +212,7 @@
 		d.Counters.SettingsRegressed.Add(1)
 		return nil
 	}
-	events = slices.DeleteFunc(events, func(e store.Event) bool { return e.Kind == store.KindInstance })
+	events = slices.DeleteFunc(events, func(e store.Event) bool { return e.Kind == store.KindInstance || e.Kind == store.KindEra })
 	d.watchedRev = rev
 	d.applyEvents(requestedAt, base, rev, events)
 	return nil
@@ -290,6 +290,9 @@
 	if len(problems) > 0 {
 		d.countRefused(problems)
 	}
+	if err := d.checkEra(ctx, snap); err != nil {
+		return err
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.applySnapshot(requestedAt, snap)
--- a/pkg/daemon/reader_test.go
+++ b/pkg/daemon/reader_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -26,12 +29,37 @@
 	rev    uint64
 	events []store.Event
 	since  string
+	// era is that of all responses, 0 for none. confirmed is the era that
+	// operators confirmed.
+	era, confirmed uint64
+	objects        []store.Object
+	puts           []string // paths of the writes
 }
 
 func (p *fakePlatform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.since = r.URL.Query().Get("since")
-	if r.URL.Path != "/v1/watch" {
-		_ = json.NewEncoder(w).Encode(map[string]any{"rev": p.rev, "objects": []store.Object{}})
+	if p.era > 0 {
+		w.Header().Set(store.EraHeader, strconv.FormatUint(p.era, 10))
+	}
+	switch {
+	case r.Method == http.MethodPut:
+		p.puts = append(p.puts, r.URL.Path)
+		_ = json.NewEncoder(w).Encode(map[string]any{"rev": p.rev})
+		return
+	case r.URL.Path == "/v1/objects/era/confirmed" && p.confirmed > 0:
+		_ = json.NewEncoder(w).Encode(store.Object{Rev: p.rev, Value: fmt.Appendf(nil, `{"era":%d}`, p.confirmed)})
+		return
+	case strings.HasPrefix(r.URL.Path, "/v1/objects/"):
+		w.WriteHeader(http.StatusNotFound)
+		return
+	case r.URL.Path != "/v1/watch":
+		found := []store.Object{}
+		for _, o := range p.objects {
+			if strings.HasPrefix(o.Kind+"/", r.URL.Query().Get("prefix")) {
+				found = append(found, o)
+			}
+		}
+		_ = json.NewEncoder(w).Encode(map[string]any{"rev": p.rev, "objects": found})
 		return
 	}
 	if p.status != 0 {
--- a/pkg/revs/revs.go
+++ b/pkg/revs/revs.go
@@ -2,7 +2,11 @@
 // copy of itself.
 package revs
 
-import "fmt"
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
 
 // Rev is a revision of the store: the store's era in the upper bits, and its
 // counter of changes in the lower ones. The counter goes back when an era begins,
@@ -45,3 +49,20 @@
 	}
 	return fmt.Sprintf("%d.%d", r.Era(), r.Counter())
 }
+
+// Parse parses the output of String. Errors: *RangeError, *strconv.NumError.
+func Parse(s string) (Rev, error) {
+	eraText, counterText, found := strings.Cut(s, ".")
+	if !found {
+		eraText, counterText = "0", s
+	}
+	era, err := strconv.ParseUint(eraText, 10, 64)
+	if err != nil {
+		return 0, err
+	}
+	counter, err := strconv.ParseUint(counterText, 10, 64)
+	if err != nil {
+		return 0, err
+	}
+	return New(era, counter)
+}
--- a/pkg/revs/revs_test.go
+++ b/pkg/revs/revs_test.go
@@ -40,6 +40,20 @@
 	}
 }
 
+// Guards against a printed revision that cannot be entered again, and against input
+// that is taken for another revision.
+func TestParse(t *testing.T) {
+	for _, r := range []revs.Rev{0, 23, newRev(t, 2, 23), newRev(t, 1<<16-1, 1<<48-1)} {
+		got, err := revs.Parse(r.String())
+		assert.NilError(t, err)
+		assert.Equal(t, got, r)
+	}
+	for _, s := range []string{"", "2.", ".3", "1.2.3", "-1", "x", "65536.1", fmt.Sprint(uint64(1) << 48)} {
+		_, err := revs.Parse(s)
+		assert.Assert(t, err != nil, "%q", s)
+	}
+}
+
 func ExampleRev_String() {
 	r, err := revs.New(2, 23)
 	fmt.Println(r, r.Era(), r.Counter(), err)
--- a/pkg/store/client.go
+++ b/pkg/store/client.go
@@ -14,6 +14,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"ebonypaddle/pkg/revs"
 )
 
 // Kinds of objects.
@@ -23,8 +25,19 @@
 	KindServer   = "server"
 	KindKey      = "key"
 	KindInstance = "instance"
+	// KindEra holds the object by which operators confirm that a store which came
+	// back from an older copy has the settings that are to be in force.
+	KindEra = "era"
 )
 
+// EraConfirmation is the name of the object of KindEra. Its value is a Confirmation.
+const EraConfirmation = "confirmed"
+
+// Confirmation names the era of the store that operators confirmed.
+type Confirmation struct {
+	Era uint64 `json:"era"`
+}
+
 // maxResponse is the largest response of the object API that is read, in bytes,
 // which bounds the memory of one call.
 const maxResponse = 256 << 20
@@ -37,7 +50,8 @@
 // response, in bytes. Pages are at most 1 MB.
 const maxPreallocated = 2 << 20
 
-// Object is one object of the platform.
+// Object is one object of the platform. All revisions that the Client returns or
+// takes are values of revs.Rev, which include the era of the store.
 type Object struct {
 	Kind  string          `json:"kind"`
 	Name  string          `json:"name"`
@@ -88,28 +102,66 @@
 		Rev     uint64   `json:"rev"`
 		Objects []Object `json:"objects"`
 	}
-	_, err := c.Read(ctx, "/v1/objects?prefix="+url.QueryEscape(prefix), c.Timeout, &res)
+	era, err := c.Read(ctx, "/v1/objects?prefix="+url.QueryEscape(prefix), c.Timeout, &res)
+	if err == nil {
+		err = addEra(era, &res.Rev)
+	}
+	for i := range res.Objects {
+		if err == nil {
+			err = addEra(era, &res.Objects[i].Rev)
+		}
+	}
 	return res.Objects, res.Rev, err
 }
 
+// addEra turns the store's counter in rev into a revision of the era. It leaves 0,
+// which stands for no object, as it is.
+func addEra(era uint64, rev *uint64) error {
+	if *rev == 0 {
+		return nil
+	}
+	r, err := revs.New(era, *rev)
+	if err != nil {
+		return &UnavailableError{Cause: CauseMalformed, Err: err}
+	}
+	*rev = uint64(r)
+	return nil
+}
+
 // Get returns one object. It returns a *NotFoundError if the object does not
 // exist.
 func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
 	var o Object
-	_, err := c.Read(ctx, objectPath(kind, name), c.Timeout, &o)
+	era, err := c.Read(ctx, objectPath(kind, name), c.Timeout, &o)
+	if err == nil {
+		err = addEra(era, &o.Rev)
+	}
 	return o, err
 }
 
 // Watch waits up to wait for changes after revision since. It returns the
 // changes, or none after that time, and the revision reached. It returns a
-// *GoneError if the platform no longer has the changes after since.
+// *GoneError if the platform no longer has the changes after since, or is in another
+// era.
 func (c *Client) Watch(ctx context.Context, since uint64, wait time.Duration) ([]Event, uint64, error) {
 	var res struct {
 		Rev    uint64  `json:"rev"`
 		Events []Event `json:"events"`
 	}
-	path := fmt.Sprintf("/v1/watch?since=%d&timeout=%d", since, wait.Milliseconds())
-	_, err := c.Read(ctx, path, c.Timeout+wait, &res)
+	from := revs.Rev(since)
+	path := fmt.Sprintf("/v1/watch?since=%d&timeout=%d", from.Counter(), wait.Milliseconds())
+	era, err := c.Read(ctx, path, c.Timeout+wait, &res)
+	if err == nil && era != from.Era() {
+		err = &GoneError{Path: path}
+	}
+	if err == nil {
+		err = addEra(era, &res.Rev)
+	}
+	for i := range res.Events {
+		if err == nil {
+			err = addEra(era, &res.Events[i].Rev)
+		}
+	}
 	return res.Events, res.Rev, err
 }
 
@@ -174,7 +226,7 @@
 		return 0, fmt.Errorf("object API request: %w", err)
 	}
 	if method != http.MethodGet {
-		req.Header.Set("If-Match", strconv.FormatUint(rev, 10))
+		req.Header.Set("If-Match", strconv.FormatUint(revs.Rev(rev).Counter(), 10))
 		req.Header.Set("Content-Type", "application/json")
 	}
 	era, err = c.roundTrip(req, out)
--- a/pkg/store/errors.go
+++ b/pkg/store/errors.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+
+	"ebonypaddle/pkg/revs"
 )
 
 // Cause is the reason why a call failed.
@@ -88,7 +90,20 @@
 }
 
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("%s %q is at revision %d", e.Kind, e.Name, e.Rev)
+	return fmt.Sprintf("%s %q is at revision %v", e.Kind, e.Name, revs.Rev(e.Rev))
+}
+
+// RestoredError reports a conditional write that the store carried out in a later era
+// than that of the object which it was to replace. The store came back from an older
+// copy between the two, so the write may have replaced a state that was not read.
+type RestoredError struct {
+	Kind, Name string
+	// Base is the revision that the write was to replace, Rev that of the write.
+	Base, Rev uint64
+}
+
+func (e *RestoredError) Error() string {
+	return fmt.Sprintf("%s %q: the store came back from an older copy after revision %v was read; the write took effect at %v and may have replaced another state", e.Kind, e.Name, revs.Rev(e.Base), revs.Rev(e.Rev))
 }
 
 // UnavailableError reports that the object API gave no usable answer.
--- a/pkg/store/write.go
+++ b/pkg/store/write.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+
+	"ebonypaddle/pkg/revs"
 )
 
 // editField is the name of the JSON member that identifies the write of a value.
@@ -15,7 +17,7 @@
 // must not exist, and returns the new revision. It adds a member "edit" with a
 // random identifier, by which it recognizes its own write if the answer is lost.
 // It sends the write once; only if the connection fails, it tries the next
-// address. Errors include *ConflictError and *UnavailableError.
+// address. Errors include *ConflictError, *RestoredError and *UnavailableError.
 func (c *Client) Put(ctx context.Context, kind, name string, rev uint64, value json.RawMessage) (uint64, error) {
 	return c.PutEdit(ctx, kind, name, rev, value, c.NewEdit())
 }
@@ -90,14 +92,28 @@
 	var res struct {
 		Rev uint64 `json:"rev"`
 	}
+	var era uint64
 	var err error
 	for range c.Addrs {
-		_, err = c.call(ctx, method, objectPath(kind, name), rev, body, c.Timeout, &res)
+		era, err = c.call(ctx, method, objectPath(kind, name), rev, body, c.Timeout, &res)
 		if cause, _ := causeOf(err); err == nil || cause != CauseConnect {
 			break
 		}
 		c.useNextAddr()
 	}
+	var conflict *ConflictError
+	if errors.As(err, &conflict) {
+		if err := addEra(era, &conflict.Rev); err != nil {
+			return 0, err
+		}
+		return 0, err
+	}
+	if err == nil {
+		err = addEra(era, &res.Rev)
+	}
+	if base := revs.Rev(rev); err == nil && base != 0 && base.Era() != era {
+		err = &RestoredError{Kind: kind, Name: name, Base: rev, Rev: res.Rev}
+	}
 	return res.Rev, err
 }
 
