verbs: edits of a store that came back from an older copy are not reported in force

Cause: ebonyctl compared the revision of an edit with that of the instances. After a restore the store's counter may be above it, while the instances do not take the store's settings; and a conditional update that was read before the restore may find the same counter on another state.

Change: edits, watch and status end with exit code 8 while the store is in a later era than the instances. store forward confirms the era after its writes. An edit whose object was read in an earlier era ends with exit code 8 and says that it took effect. Revisions are printed and read as ERA.COUNTER, or the counter alone in era 0.

Evidence: TestStoreInLaterEra (3 cases) and TestStoreRestoredBeforeWrite fail with the era left out of the client.

--- a/ebonyctl/verbs/app.go
+++ b/ebonyctl/verbs/app.go
@@ -15,6 +15,8 @@
 
 	"ebonypaddle/ebonyctl/client"
 	"ebonypaddle/pkg/conf"
+	"ebonypaddle/pkg/revs"
+	"ebonypaddle/pkg/store"
 )
 
 // Exit codes of ebonyctl. Doc describes each of them.
@@ -71,9 +73,9 @@
 // Error names some of the missing instances and counts the others.
 func (e *NotInForceError) Error() string {
 	if e.Err != nil {
-		return fmt.Sprintf("cannot determine where revision %d is in force: %v", e.Rev, e.Err)
+		return fmt.Sprintf("cannot determine where revision %v is in force: %v", revs.Rev(e.Rev), e.Err)
 	}
-	s := fmt.Sprintf("revision %d is not in force on: %s", e.Rev, strings.Join(e.Missing, ", "))
+	s := fmt.Sprintf("revision %v is not in force on: %s", revs.Rev(e.Rev), strings.Join(e.Missing, ", "))
 	if unnamed := e.NotReached - len(e.Missing); unnamed > 0 {
 		s += fmt.Sprintf(" and %d more", unnamed)
 	}
@@ -99,6 +101,7 @@
 		unknown     *client.UnknownOutcomeError
 		pathErr     *conf.PathError
 		storeBehind *StoreBehindError
+		restored    *store.RestoredError
 	)
 	switch {
 	case err == nil:
@@ -109,7 +112,7 @@
 		return ExitInvalid
 	case errors.As(err, &conflict):
 		return ExitConflict
-	case errors.As(err, &storeBehind):
+	case errors.As(err, &storeBehind), errors.As(err, &restored):
 		return ExitStoreBehind
 	case errors.As(err, &notInForce):
 		return ExitNotInForce
@@ -143,7 +146,7 @@
 	a.printChanges(race.Yours)
 	a.warn("the other edit, which is in the store:\n")
 	a.printChanges(race.Other)
-	a.warn("to apply your edit on top of the other, repeat it with --rev %d\n", race.Rev)
+	a.warn("to apply your edit on top of the other, repeat it with --rev %v\n", revs.Rev(race.Rev))
 }
 
 // printChanges writes changes to the error stream, one a line.
--- a/ebonyctl/verbs/change.go
+++ b/ebonyctl/verbs/change.go
@@ -11,6 +11,7 @@
 
 	"ebonypaddle/ebonyctl/client"
 	"ebonypaddle/pkg/conf"
+	"ebonypaddle/pkg/revs"
 )
 
 // pollInterval is the time between two reads of the revision of instances or of
@@ -88,7 +89,11 @@
 	ed := st.newEdit(o)
 	a.readHighestRev(ctx)
 	if cmd.IsSet("rev") {
-		if ed.Rev = cmd.Uint64("rev"); ed.Rev != st.objs[o.Kind][o.Name].Rev {
+		given, err := revs.Parse(cmd.String("rev"))
+		if err != nil {
+			return usagef("--rev is %q, must be a revision number such as 42 or 2.42: %w", cmd.String("rev"), err)
+		}
+		if ed.Rev = uint64(given); ed.Rev != st.objs[o.Kind][o.Name].Rev {
 			ed.Base = nil // The store no longer has the value that the operator saw.
 		}
 	}
@@ -107,7 +112,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if rev <= a.highestRev {
+	if rev <= a.highestRev || a.inOtherEra(rev) {
 		return 0, &StoreBehindError{Rev: rev, HighestRev: a.highestRev, Accepted: true}
 	}
 	if !changesOnlyMark(&ed) {
@@ -115,8 +120,8 @@
 	}
 	n, err := a.instances.Notify(ctx, conf.Object{Kind: ed.Kind, Name: ed.Name, Rev: rev, Value: ed.Value})
 	if err != nil || n == 0 {
-		a.warn("revision %d is accepted, but could not be sent directly to any instance (%v); "+
-			"it takes effect once an instance reads the object API\n", rev, err)
+		a.warn("revision %v is accepted, but could not be sent directly to any instance (%v); "+
+			"it takes effect once an instance reads the object API\n", revs.Rev(rev), err)
 	}
 	return rev, nil
 }
@@ -147,7 +152,7 @@
 	}
 	out := result{Rev: rev}
 	if cmd.Bool("no-wait") {
-		return a.emit(out, func(w *strings.Builder) { fmt.Fprintf(w, "accepted at revision %d\n", rev) })
+		return a.emit(out, func(w *strings.Builder) { fmt.Fprintf(w, "accepted at revision %v\n", revs.Rev(rev)) })
 	}
 	deadline := a.Now().Add(cmd.Duration("timeout"))
 	for {
@@ -155,7 +160,7 @@
 		if err == nil && p.Done {
 			out.Progress = p
 			return a.emit(out, func(w *strings.Builder) {
-				fmt.Fprintf(w, "revision %d is in force on %d instances\n", rev, p.Reached)
+				fmt.Fprintf(w, "revision %v is in force on %d instances\n", revs.Rev(rev), p.Reached)
 			})
 		}
 		if !a.Now().Before(deadline) {
--- a/ebonyctl/verbs/command.go
+++ b/ebonyctl/verbs/command.go
@@ -26,7 +26,7 @@
 		&cli.BoolFlag{Name: "no-wait", Usage: "do not wait until the change is in force"},
 		&cli.DurationFlag{Name: "timeout", Value: defaultInForceTimeout, Usage: "maximum time to wait until the change is in force"},
 	}
-	rev := append([]cli.Flag{&cli.Uint64Flag{Name: "rev", Usage: "revision of the object that the edit replaces; 0 if it must not exist (default: the revision just read)"}}, wait...)
+	rev := append([]cli.Flag{&cli.StringFlag{Name: "rev", Usage: "revision of the object that the edit replaces; 0 if it must not exist (default: the revision just read)"}}, wait...)
 	prune := append([]cli.Flag{&cli.BoolFlag{Name: "prune", Usage: "also delete nodes, domains and servers that are not in the file"},
 		&cli.BoolFlag{Name: "prune-keys", Usage: "also delete keys that are not in the file; tokens sealed with them become invalid"}}, wait...)
 	forward := append([]cli.Flag{
--- a/ebonyctl/verbs/fake_test.go
+++ b/ebonyctl/verbs/fake_test.go
@@ -18,6 +18,7 @@
 
 	"ebonypaddle/ebonyctl/client"
 	"ebonypaddle/pkg/conf"
+	"ebonypaddle/pkg/store"
 )
 
 // fakeObjectAPI is an object API for tests that keeps its objects in memory. A
@@ -26,6 +27,7 @@
 type fakeObjectAPI struct {
 	mu       sync.Mutex
 	rev      uint64
+	era      uint64 // how often the store came back from an older copy
 	objs     map[string]conf.Object
 	requests map[string]int // number of requests by HTTP method
 	// writes are all successful writes in order.
@@ -56,6 +58,7 @@
 	defer s.mu.Unlock()
 	reply := func(v any) { _ = json.NewEncoder(w).Encode(v) }
 	s.requests[r.Method]++
+	w.Header().Set(store.EraHeader, strconv.FormatUint(s.era, 10))
 	if prefix := r.URL.Query().Get("prefix"); prefix != "" {
 		out := struct {
 			Rev     uint64        `json:"rev"`
@@ -99,6 +102,9 @@
 		}
 		var all []conf.Object
 		for _, o := range s.objs {
+			if o.Kind == store.KindEra {
+				continue
+			}
 			all = append(all, o)
 		}
 		snap, ps := conf.Build(s.rev, all)
@@ -109,6 +115,7 @@
 		if hook(apply) {
 			panic(http.ErrAbortHandler) // Closes the connection without a response.
 		}
+		w.Header().Set(store.EraHeader, strconv.FormatUint(s.era, 10))
 	}
 	apply()
 	reply(map[string]uint64{"rev": *rev})
--- a/ebonyctl/verbs/forward.go
+++ b/ebonyctl/verbs/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"slices"
@@ -11,6 +12,8 @@
 
 	"ebonypaddle/ebonyctl/client"
 	"ebonypaddle/pkg/conf"
+	"ebonypaddle/pkg/revs"
+	"ebonypaddle/pkg/store"
 )
 
 // storeForward repairs a store that lost changes by writing the settings of the
@@ -24,14 +27,14 @@
 		return fmt.Errorf("settings of the instances: %w", err)
 	}
 	if settings.Rev < a.highestRev {
-		return fmt.Errorf("the instances that responded have revision %d, but another instance has %d; pass the address of that instance with --instance", settings.Rev, a.highestRev)
+		return fmt.Errorf("the instances that responded have revision %v, but another instance has %v; pass the address of that instance with --instance", revs.Rev(settings.Rev), revs.Rev(a.highestRev))
 	}
 	st, err := a.loadStore(ctx)
 	if err != nil {
 		return err
 	}
 	diffs := conf.Diff(st.snap, settings)
-	a.warn("store at revision %d, instances at %d; %d differences, store -> instances:\n", st.snap.Rev, settings.Rev, len(diffs))
+	a.warn("store at revision %v, instances at %v; %d differences, store -> instances:\n", revs.Rev(st.snap.Rev), revs.Rev(settings.Rev), len(diffs))
 	a.printChanges(diffs)
 	keep := cmd.StringSlice("keep")
 	switch unknown := firstWithoutDifference(diffs, keep); {
@@ -46,9 +49,32 @@
 	if err != nil {
 		return err
 	}
+	if era := revs.Rev(rev).Era(); era != revs.Rev(settings.Rev).Era() {
+		if rev, err = a.confirmEra(ctx, era); err != nil {
+			return err
+		}
+	}
 	return a.waitInForce(ctx, cmd, rev)
 }
 
+// confirmEra writes that the store has the settings that are to be in force in its
+// era, and returns the revision of that. Instances then take them over.
+func (a *App) confirmEra(ctx context.Context, era uint64) (uint64, error) {
+	value, err := json.Marshal(store.Confirmation{Era: era})
+	if err != nil {
+		return 0, err
+	}
+	ed := client.Edit{Kind: store.KindEra, Name: store.EraConfirmation, Value: value}
+	switch o, err := a.objects.Get(ctx, ed.Kind, ed.Name); {
+	case err == nil:
+		ed.Rev, ed.Base = o.Rev, o.Value
+	case !errors.Is(err, client.ErrNotFound):
+		return 0, fmt.Errorf("confirmation of the store's era: %w", err)
+	}
+	e := &client.Editor{Objects: a.objects, Rand: a.Rand}
+	return e.Apply(ctx, &ed)
+}
+
 // firstWithoutDifference returns the first KIND/NAME of keep that is not in diffs,
 // or "" if all are.
 func firstWithoutDifference(diffs []conf.Change, keep []string) string {
--- a/ebonyctl/verbs/read.go
+++ b/ebonyctl/verbs/read.go
@@ -7,7 +7,6 @@
 	"maps"
 	"os"
 	"slices"
-	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -15,6 +14,7 @@
 	"github.com/urfave/cli/v3"
 
 	"ebonypaddle/pkg/conf"
+	"ebonypaddle/pkg/revs"
 )
 
 // sortedKeys returns the keys of m in order.
@@ -44,10 +44,10 @@
 		shown.Keys[name] = k
 	}
 	return a.emit(shown, func(w *strings.Builder) {
-		fmt.Fprintf(w, "revision %d\n", shown.Rev)
+		fmt.Fprintf(w, "revision %v\n", revs.Rev(shown.Rev))
 		writeTable(w, func(w *strings.Builder) {
 			for _, n := range sortedKeys(shown.Nodes) {
-				fmt.Fprintf(w, "node\t%s\trev %d\n", n, st.objs[conf.KindNode][n].Rev)
+				fmt.Fprintf(w, "node\t%s\trev %v\n", n, revs.Rev(st.objs[conf.KindNode][n].Rev))
 			}
 			for _, n := range sortedKeys(shown.Domains) {
 				fmt.Fprintf(w, "domain\t%s\t%s\t%s\n", n, shown.Domains[n].Half, shown.Domains[n].Mark)
@@ -154,15 +154,15 @@
 }
 
 func (a *App) watch(ctx context.Context, cmd *cli.Command) error {
-	rev, err := strconv.ParseUint(cmd.Args().First(), 10, 64)
+	rev, err := revs.Parse(cmd.Args().First())
 	if err != nil {
-		return usagef("REV is %q, must be a revision number", cmd.Args().First())
+		return usagef("REV is %q, must be a revision number such as 42 or 2.42: %w", cmd.Args().First(), err)
 	}
 	a.readHighestRev(ctx)
 	if err := a.checkStoreRev(ctx); err != nil {
 		return err
 	}
-	return a.waitInForce(ctx, cmd, rev)
+	return a.waitInForce(ctx, cmd, uint64(rev))
 }
 
 func (a *App) status(ctx context.Context, _ *cli.Command) error {
@@ -184,7 +184,7 @@
 				if s.SkewMillis != nil {
 					skew = formatMillis(*s.SkewMillis)
 				}
-				fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\t%d\t%s\t%s\t%s\t%s\t%s\n", s.Entry, s.Domain, s.Rev, formatMillis(s.FreshMillis), skew,
+				fmt.Fprintf(w, "%s\t%s\t%v\t%s\t%s\t%d\t%s\t%s\t%s\t%s\t%s\n", s.Entry, s.Domain, revs.Rev(s.Rev), formatMillis(s.FreshMillis), skew,
 					s.Flows, formatCounts(stages), formatCounts(s.Refused), formatCounts(s.Dropped), formatCounts(s.Retried), formatCounts(s.Closed))
 			}
 		})
--- a/ebonyctl/verbs/storebehind.go
+++ b/ebonyctl/verbs/storebehind.go
@@ -5,11 +5,14 @@
 	"fmt"
 
 	"ebonypaddle/pkg/conf"
+	"ebonypaddle/pkg/revs"
 )
 
 // StoreBehindError reports a store that lost changes: its revision is below that
-// of the instances, or its settings differ from theirs. Instances ignore the store
-// until its revision is higher than theirs.
+// of the instances, it came back from an older copy and is in a later era than
+// theirs, or its settings differ from theirs. Instances ignore the store until its
+// revision is higher than theirs, and one in a later era until its settings are equal
+// to theirs or were confirmed by store forward.
 type StoreBehindError struct {
 	// Rev is the revision of the edit if Accepted is set, else the revision of
 	// the store. HighestRev is the highest revision on any instance.
@@ -19,14 +22,15 @@
 
 // Error describes the difference and names the command that repairs it.
 func (e *StoreBehindError) Error() string {
-	msg := fmt.Sprintf("the store is at revision %d, but", e.Rev)
+	rev, highest := revs.Rev(e.Rev), revs.Rev(e.HighestRev)
+	msg := fmt.Sprintf("the store is at revision %v, but", rev)
 	switch {
 	case e.Accepted:
-		msg = fmt.Sprintf("the edit was accepted at revision %d but is not in force, because", e.Rev)
-	case e.Rev > e.HighestRev:
-		return fmt.Sprintf("the settings in the store, at revision %d, differ from those of the instances, at revision %d", e.Rev, e.HighestRev)
+		msg = fmt.Sprintf("the edit was accepted at revision %v but is not in force, because", rev)
+	case rev > highest && rev.Era() == highest.Era():
+		return fmt.Sprintf("the settings in the store, at revision %v, differ from those of the instances, at revision %v", rev, highest)
 	}
-	return fmt.Sprintf("%s instances have revision %d: the store lost changes; see ebonyctl store forward", msg, e.HighestRev)
+	return fmt.Sprintf("%s instances have revision %v: the store lost changes; see ebonyctl store forward", msg, highest)
 }
 
 // readHighestRev reads the highest revision on any instance. It must run before an
@@ -43,8 +47,14 @@
 // store also returns a low revision, but only for a short time.
 const maxStoreReads = 4
 
+// inOtherEra reports whether a revision of the store is in another era than the
+// highest revision on any instance. It is false without an instance.
+func (a *App) inOtherEra(rev uint64) bool {
+	return a.highestRev != 0 && revs.Rev(rev).Era() != revs.Rev(a.highestRev).Era()
+}
+
 // checkStoreRev returns a *StoreBehindError if the store's revision is below that
-// of the instances. A store that does not respond causes only a warning, because
+// of the instances or in a later era. A store that does not respond causes only a warning, because
 // the commands that query instances work without it.
 func (a *App) checkStoreRev(ctx context.Context) error {
 	var rev uint64
@@ -54,7 +64,7 @@
 			a.warn("cannot read the revision of the store: %v\n", err)
 			return nil
 		}
-		if rev = max(rev, r); rev >= a.highestRev {
+		if rev = max(rev, r); rev >= a.highestRev && !a.inOtherEra(rev) {
 			return nil
 		}
 		if err := a.Sleep(ctx, pollInterval); err != nil {
--- a/ebonyctl/verbs/storebehind_test.go
+++ b/ebonyctl/verbs/storebehind_test.go
@@ -106,6 +106,44 @@
 	env.run(ExitFailed, "store", "forward", "--write")
 }
 
+// Guards against an edit that is reported as in force, or a status without a warning,
+// when the store came back from an older copy and its revisions passed those of the
+// instances again.
+func TestStoreInLaterEra(t *testing.T) {
+	for name, raised := range map[string]uint64{"lower revision": 0, "same revision": 20, "higher revision": 40} {
+		t.Run(name, func(t *testing.T) {
+			env := newRestoredEnv(t)
+			env.era, env.rev = 1, env.rev+raised
+			for _, args := range []string{"domain out kirkos", "watch 3", "status"} {
+				_, errs := env.run(ExitStoreBehind, strings.Fields(args)...)
+				assertContains(t, errs, "lost changes")
+			}
+			assert.Equal(t, len(env.notified), 0)
+			env.run(ExitStoreBehind, "store", "forward")
+			out, _ := env.run(ExitOK, "store", "forward", "--write", "--no-wait")
+			assertContains(t, out, "accepted at revision 1.")
+			assertContains(t, string(env.objs["era/confirmed"].Value), `"era":1`)
+			app := env.app()
+			app.objects, _ = app.NewObjectAPI([]string{env.url})
+			st, err := app.loadStore(context.Background())
+			assert.NilError(t, err)
+			assert.Equal(t, len(conf.Diff(st.snap, env.settings)), 0)
+		})
+	}
+}
+
+// Guards against an edit that replaces what the operator did not see, because the
+// store came back from an older copy after the object was read, without a word.
+func TestStoreRestoredBeforeWrite(t *testing.T) {
+	env := newLoadedEnv(t)
+	env.beforeWrite = func(func()) bool {
+		env.era++
+		return false
+	}
+	_, errs := env.run(ExitStoreBehind, "node", "set", "/utility", "slots=4", "--no-wait")
+	assertContains(t, errs, "may have replaced another state")
+}
+
 // Guards against tree show printing a revision that was raised by the instance list:
 // a watch of that revision would never end.
 func TestTreeShowRevision(t *testing.T) {
