daemon: live instances that a restored store lost are listed again

What callers would see: an instance that started shortly before the copy of the store gets no packets from the fabric any more, for good, since it writes its entry of the instance list only at its start.

Change: a reader of a failure domain that sees a later era of the store lists the instances and writes those of its domain that are live and not leaving, if their entry is missing or of a former stop.

An instance that has just begun to leave and is not known to do so by the reader yet may be listed as live until its own stop writes again; its readiness does not change.

--- a/pkg/daemon/announce.go
+++ b/pkg/daemon/announce.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -84,10 +85,15 @@
 // announceOnce writes this instance and its state to the platform's instance
 // list.
 func (d *Daemon) announceOnce(ctx context.Context, state string) error {
+	return d.announceEntry(ctx, d.Process.Entry, d.Process.Data, state)
+}
+
+// announceEntry writes an instance and its state to the platform's instance list.
+func (d *Daemon) announceEntry(ctx context.Context, entry string, data netip.AddrPort, state string) error {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	rev := uint64(0)
-	o, err := d.Store.Get(ctx, store.KindInstance, d.Process.Entry)
+	o, err := d.Store.Get(ctx, store.KindInstance, entry)
 	var missing *store.NotFoundError
 	switch {
 	case err == nil:
@@ -98,10 +104,10 @@
 	v, err := json.Marshal(struct {
 		Data  string `json:"data"`
 		State string `json:"state"`
-	}{d.Process.Data.String(), state})
+	}{data.String(), state})
 	if err != nil {
 		return err
 	}
-	_, err = d.Store.Put(ctx, store.KindInstance, d.Process.Entry, rev, v)
+	_, err = d.Store.Put(ctx, store.KindInstance, entry, rev, v)
 	return err
 }
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -63,6 +63,10 @@
 	// watchedRev is the platform's revision up to which this instance has
 	// received events. Only readSettings uses it, without mu.
 	watchedRev uint64
+	// instancesEra is the latest era of the store in which this instance found
+	// the instance list complete; nil before its first read of the store. Only
+	// readSettings uses it, without mu.
+	instancesEra *uint64
 	// outage tracks whether the object API answers. Only readSettings uses it,
 	// without mu.
 	outage store.Outage
--- a/pkg/daemon/era_test.go
+++ b/pkg/daemon/era_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"errors"
+	"net/netip"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"ebonypaddle/pkg/conf"
 	"ebonypaddle/pkg/revs"
 	"ebonypaddle/pkg/store"
 )
@@ -59,3 +61,38 @@
 	assert.Assert(t, d.watchStore(t.Context()) != nil)
 	assert.Assert(t, d.settings().Nodes["/k/order"].Path == "")
 }
+
+// Guards against a live instance that gets no packets any more because the store
+// lost its entry of the instance list.
+func TestRestoredInstanceList(t *testing.T) {
+	live, leaving := []byte(`{"state":"live"}`), []byte(`{"state":"leaving"}`)
+	for _, tc := range []struct {
+		name   string
+		listed []store.Object
+		puts   []string
+	}{
+		{"entry lost", nil, []string{"/v1/objects/instance/a0"}},
+		{"entry of the last stop", []store.Object{{Kind: store.KindInstance, Name: "a0", Rev: 1, Value: leaving}}, []string{"/v1/objects/instance/a0"}},
+		{"entry kept", []store.Object{{Kind: store.KindInstance, Name: "a0", Rev: 1, Value: live}}, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := &fakePlatform{rev: 6}
+			d := newDaemon(t, p)
+			snap := *d.settings()
+			snap.Rev = 6
+			dead := conf.Entry{Name: "a1", Data: netip.MustParseAddrPort("10.0.0.2:7000"), Peer: netip.MustParseAddrPort("10.0.0.2:7001")}
+			snap.Domains = map[string]conf.Domain{"a": {Name: "a", Half: "k", Mark: conf.MarkIn, Entries: []conf.Entry{selfEntry, dead}}}
+			_, _, err := d.core.ApplySettings(testStart, testStart, &snap)
+			assert.NilError(t, err)
+			assert.NilError(t, d.watchStore(t.Context()))
+			assert.Equal(t, len(p.puts), 0)
+			p.era, p.rev, p.objects = 1, 9, tc.listed
+			for range 2 { // the second read of the same era writes nothing
+				var lost *LostSettingsError
+				err = d.watchStore(t.Context())
+				assert.Assert(t, errors.As(err, &lost), "%v", err)
+			}
+			assert.DeepEqual(t, p.puts, tc.puts)
+		})
+	}
+}
--- a/pkg/daemon/reader.go
+++ b/pkg/daemon/reader.go
@@ -208,6 +208,9 @@
 	if err != nil {
 		return err
 	}
+	if err := d.restoreInstances(ctx, rev); err != nil {
+		return err
+	}
 	if rev < since {
 		d.Counters.SettingsRegressed.Add(1)
 		return nil
@@ -290,6 +293,9 @@
 	if len(problems) > 0 {
 		d.countRefused(problems)
 	}
+	if err := d.restoreInstances(ctx, last); err != nil {
+		return err
+	}
 	if err := d.checkEra(ctx, snap); err != nil {
 		return err
 	}
--- a/pkg/daemon/reader_test.go
+++ b/pkg/daemon/reader_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strconv"
 	"strings"
 	"testing"
@@ -69,6 +70,9 @@
 	_ = json.NewEncoder(w).Encode(map[string]any{"rev": p.rev, "events": p.events})
 }
 
+// selfEntry is the entry of the daemon under test.
+var selfEntry = conf.Entry{Name: "a0", Data: netip.MustParseAddrPort("10.0.0.1:7000"), Peer: netip.MustParseAddrPort("10.0.0.1:7001")}
+
 // newDaemon returns a daemon with settings at revision 5 that were confirmed
 // 2.5 s ago. It reads from p.
 func newDaemon(t *testing.T, p *fakePlatform) *Daemon {
@@ -81,7 +85,7 @@
 		Store: &store.Client{Addrs: []string{srv.URL}, HTTP: srv.Client(), Rand: rand.New(rand.NewPCG(1, 1)), Timeout: time.Second},
 	}
 	d.log = (*logs.Switch)(nil).Logger("daemon")
-	d.core = &core.Core{Half: "k", Domain: "a", Nonces: rand.NewChaCha8([32]byte{})}
+	d.core = &core.Core{Half: "k", Domain: "a", Entry: selfEntry, Nonces: rand.NewChaCha8([32]byte{})}
 	d.core.Start(testStart)
 	snap := conf.Empty()
 	snap.Rev = 5
