soak, deploy: the store comes back from an older copy

The soak's store can go away and come back from a copy 0.5 to 8.5 s old; operator and servers write again within a second.

--- a/emul/soak/deployment_test.go
+++ b/emul/soak/deployment_test.go
@@ -278,6 +278,14 @@
 func (dep *deployment) putSettings() time.Time {
 	dep.mu.Lock()
 	dep.version += uint64(1 + dep.rnd.IntN(3))
+	dep.mu.Unlock()
+	return dep.writeSettings()
+}
+
+// writeSettings writes the settings of the current version to the store, and returns
+// the time of the change.
+func (dep *deployment) writeSettings() time.Time {
+	dep.mu.Lock()
 	routes := []map[string]any{}
 	live := dep.liveRoutes
 	if dep.hasExtraRoute {
--- a/emul/soak/soak_test.go
+++ b/emul/soak/soak_test.go
@@ -40,6 +40,9 @@
 	// ready, because backendServer did not remember its state. The fault was in
 	// the test. The seeds stay for their sequence of disturbances.
 	104, 110,
+	// 701, 702, 713: flows to leaving servers after the store came back from an older
+	// copy.
+	701, 702, 713,
 }
 
 // programPath is the path of the program under test.
@@ -108,12 +111,16 @@
 		go c.run(stop)
 	}
 	var disturbances []string
-	trafficRand := rand.New(rand.NewPCG(seed, 8)) // separate, so that older seeds keep their sequence
+	// Separate, so that older seeds keep their sequence.
+	trafficRand, storeRand := rand.New(rand.NewPCG(seed, 8)), rand.New(rand.NewPCG(seed, 9))
 	for end := time.Now().Add(soakTime); time.Now().Before(end); {
 		disturbances = append(disturbances, dep.disturb())
 		if trafficRand.IntN(3) == 0 {
 			disturbances = append(disturbances, dep.disturbTraffic(trafficRand))
 		}
+		if storeRand.IntN(8) == 0 {
+			disturbances = append(disturbances, dep.restoreStore(storeRand))
+		}
 		time.Sleep(time.Duration(200+dep.rnd.IntN(900)) * time.Millisecond)
 	}
 	time.Sleep(recoveryTime)
@@ -269,6 +276,28 @@
 	return fmt.Sprintf("datagrams to %s delayed by %v (0s: dropped) for %v", inst.name, delay, d)
 }
 
+// restoreStore makes the store unavailable and lets it come back from a copy some
+// seconds old. The operator and the servers then write again what they had written,
+// each after a second at most.
+func (dep *deployment) restoreStore(rnd *rand.Rand) string {
+	d := time.Duration(rnd.IntN(1500)) * time.Millisecond
+	age := time.Duration(500+rnd.IntN(8000)) * time.Millisecond
+	dep.markStoreDisturbed(d + time.Second)
+	dep.store.busy.Store(true)
+	again := func(write func() time.Time) {
+		time.AfterFunc(time.Duration(rand.Int64N(int64(time.Second))), func() { write() })
+	}
+	time.AfterFunc(d, func() {
+		dep.store.restore(age + d)
+		dep.store.busy.Store(false)
+		again(dep.writeSettings)
+		for _, srv := range dep.servers {
+			again(srv.putRecord)
+		}
+	})
+	return fmt.Sprintf("store away for %v, back from a copy %v old", d, age)
+}
+
 // drainServer marks a server as draining in its record, and as ready again 2 s
 // after new flows to it must have stopped.
 func (dep *deployment) drainServer(srv *backendServer) string {
--- a/emul/soak/store_test.go
+++ b/emul/soak/store_test.go
@@ -19,6 +19,7 @@
 // watches over HTTP.
 type fakeStore struct {
 	mu          sync.Mutex
+	era         uint64 // how often the store came back from an older copy
 	rev         uint64
 	droppedRev  uint64 // a watch from before this revision gets status 410
 	objects     map[string]json.RawMessage
@@ -30,10 +31,11 @@
 
 // change is one write in the history of the store.
 type change struct {
-	rev     uint64
-	kind    string
-	object  json.RawMessage
-	deleted bool
+	at         time.Time
+	rev        uint64
+	kind, name string
+	object     json.RawMessage
+	deleted    bool
 }
 
 func newFakeStore() *fakeStore {
@@ -50,15 +52,43 @@
 	if err != nil {
 		panic(err)
 	}
-	if spec == nil {
-		delete(s.objects, kind+"/"+name)
+	c := change{time.Now(), s.rev, kind, name, o, spec == nil}
+	s.apply(c)
+	s.history = append(s.history, c)
+	s.notify()
+	return c.at
+}
+
+// apply makes a change to the objects. The caller holds mu.
+func (s *fakeStore) apply(c change) {
+	if c.deleted {
+		delete(s.objects, c.kind+"/"+c.name)
 	} else {
-		s.objects[kind+"/"+name] = o
+		s.objects[c.kind+"/"+c.name] = c.object
 	}
-	s.history = append(s.history, change{s.rev, kind, o, spec == nil})
+}
+
+// notify wakes all watches. The caller holds mu.
+func (s *fakeStore) notify() {
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return time.Now()
+}
+
+// restore makes the store come back from a copy of a given age. What was written
+// since is lost, and its revisions are given out again.
+func (s *fakeStore) restore(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	copiedAt := time.Now().Add(-age)
+	s.history = slices.DeleteFunc(s.history, func(c change) bool { return c.at.After(copiedAt) })
+	s.era++
+	s.rev, s.objects = 1, map[string]json.RawMessage{}
+	for _, c := range s.history {
+		s.apply(c)
+		s.rev = c.rev
+	}
+	s.droppedRev = min(s.droppedRev, s.rev)
+	s.notify()
 }
 
 // dropHistory makes all revisions before the current one unavailable to watches.
@@ -78,6 +108,7 @@
 	q := r.URL.Query()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 	if !q.Has("Watch") {
 		items := []json.RawMessage{}
 		for _, name := range slices.Sorted(maps.Keys(s.objects)) {
@@ -92,7 +123,8 @@
 	ms, _ := strconv.Atoi(q.Get("WaitMs"))
 	end := time.After(time.Duration(ms) * time.Millisecond)
 	for {
-		if since < s.droppedRev {
+		w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+		if since < s.droppedRev || since > s.rev {
 			w.WriteHeader(http.StatusGone)
 			return
 		}
