--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -110,25 +110,18 @@
 		lb.dropServer(srv)
 		srv = nil
 	}
-	if srv == nil {
-		srv = &server{name: c.Name, addedAt: now}
-		if !lb.synced {
-			srv.addedAt = time.Time{}
-		}
-		srv.Server = c.Value
-		lb.byName[c.Name] = srv
-		lb.claimToken(srv)
-		lb.startShare(srv)
-		lb.pool(srv.Service).add(srv, srv.Domain == lb.Domain)
+	switch {
+	case srv == nil:
+		srv = lb.addServer(now, c)
 		if logNew {
 			lb.Log.Info("server added", "server", c.Name, "service", srv.Service, "domain", srv.Domain, "addr", srv.Addr, "leaving", srv.Leaving, "coldFor", srv.ColdTimeLeft, "rev", c.Rev)
 		}
-	} else if c.Value.Sequence < srv.Sequence {
+	case c.Value.Sequence < srv.Sequence:
 		// The process wrote this record before the known one. The store came back
 		// from an older copy, or carried out a write late.
 		lb.Log.Info("older server record ignored", "server", c.Name, "leaving", srv.Leaving, "rev", c.Rev)
 		c.Value, c.Value.ColdTimeLeft = srv.Server, max(srv.coldUntil.Sub(now), 0)
-	} else if srv.Leaving != c.Value.Leaving {
+	case srv.Leaving != c.Value.Leaving:
 		lb.Log.Info("server changed", "server", c.Name, "leaving", c.Value.Leaving, "rev", c.Rev)
 	}
 	if !srv.removedAt.IsZero() {
@@ -142,6 +135,19 @@
 	srv.coldUntil = now.Add(c.Value.ColdTimeLeft)
 }
 
+// addServer adds the server of a record.
+func (lb *Balancer) addServer(now time.Time, c Change[Server]) *server {
+	srv := &server{Server: c.Value, name: c.Name, addedAt: now}
+	if !lb.synced {
+		srv.addedAt = time.Time{}
+	}
+	lb.byName[c.Name] = srv
+	lb.claimToken(srv)
+	lb.startShare(srv)
+	lb.pool(srv.Service).add(srv, srv.Domain == lb.Domain)
+	return srv
+}
+
 // removeServer handles the removal of a record. A record can expire although
 // its server is alive, when the server or this instance lost its connection to
 // the store. Flows of the server therefore go on for RemovalGrace, during
