relay: instances of the version before get no revisions with the era

Cause: an old instance takes a revision with the era for a counter. When it reads the store, its watch gets status 410, and it ignores the list, which is below its counter, without a pause: the fault of this incident, during an upgrade.

Change: a new path for the exchange, so that old and new instances do not exchange updates and each group reads the store by itself. Random delays of readers come from the seed of the instance.

TestExchangeWithFormerVersion.

--- a/ebonyctl/verbs/storebehind.go
+++ b/ebonyctl/verbs/storebehind.go
@@ -54,8 +54,8 @@
 }
 
 // checkStoreRev returns a *StoreBehindError if the store's revision is below that
-// of the instances or in a later era. A store that does not respond causes only a warning, because
-// the commands that query instances work without it.
+// of the instances or in a later era. A store that does not respond causes only a
+// warning, because the commands that query instances work without it.
 func (a *App) checkStoreRev(ctx context.Context) error {
 	var rev uint64
 	for range maxStoreReads {
--- a/pkg/relay/peer.go
+++ b/pkg/relay/peer.go
@@ -20,8 +20,9 @@
 
 const (
 	// exchangePath is the path of the request by which instances exchange
-	// updates.
-	exchangePath = "/ebonypaddle.relay.v1.Relay/Ask"
+	// updates. Instances of version v1 compare revisions without the era and must
+	// not get any with it.
+	exchangePath = "/ebonypaddle.relay.v2.Relay/Ask"
 	// exchangeWaitMargin is how much longer a response waits for changes than a
 	// reader's watch of the store.
 	exchangeWaitMargin = 300 * time.Millisecond
--- a/pkg/relay/reader.go
+++ b/pkg/relay/reader.go
@@ -89,7 +89,7 @@
 // readLoop reads one kind of objects from the store while this instance is a
 // reader.
 func (r *Relay) readLoop(ctx context.Context, k cache.Kind) {
-	kr := kindReader{r: r, kind: k}
+	kr := kindReader{r: r, kind: k, rand: rand.New(rand.NewPCG(r.Seed, 2+uint64(k)))}
 	for ctx.Err() == nil {
 		r.cacheMu.Lock()
 		reads, updated, rev := r.reading, r.updated, r.cache.Revs()[k]
@@ -215,6 +215,7 @@
 	outage     store.Outage
 	retryDelay time.Duration
 	failures   int // consecutive failed calls
+	rand       *rand.Rand
 }
 
 // callFailed handles a failed call. It waits before the next one. If the store
@@ -252,7 +253,7 @@
 	kr.r.cacheMu.Lock()
 	delay := cache.LevelDelay(kr.r.level)
 	kr.r.cacheMu.Unlock()
-	delay += time.Duration(rand.Int64N(int64(delay) + 1))
+	delay += time.Duration(kr.rand.Int64N(int64(delay) + 1))
 	kr.r.awaitUpdate(ctx, delay, func() bool {
 		updated = kr.r.cache.Revs()[kr.kind] != rev
 		return !kr.r.reading
--- a/pkg/relay/reader_test.go
+++ b/pkg/relay/reader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -187,3 +188,14 @@
 	defer s.mu.Unlock()
 	assert.Assert(t, s.lists <= len(all)*int(cache.Kinds)/2, "%d lists", s.lists)
 }
+
+// Guards against revisions with the era that reach an instance of the version before,
+// which takes them for counters and then lists the store without a pause.
+func TestExchangeWithFormerVersion(t *testing.T) {
+	t.Parallel()
+	_, _, first := startReader(t)
+	res, err := http.Post("http://"+first.Control.String()+"/ebonypaddle.relay.v1.Relay/Ask", "application/cbor", nil)
+	assert.NilError(t, err)
+	assert.NilError(t, res.Body.Close())
+	assert.Equal(t, res.StatusCode, http.StatusNotFound)
+}
