--- a/ebonyctl/verbs/storebehind_test.go
+++ b/ebonyctl/verbs/storebehind_test.go
@@ -106,9 +106,7 @@
 	env.run(ExitFailed, "store", "forward", "--write")
 }
 
-// Guards against an edit that is reported as in force, or a status without a warning,
-// when the store came back from an older copy and its revisions passed those of the
-// instances again.
+// Guards against an edit that is reported as in force although instances ignore its era.
 func TestStoreInLaterEra(t *testing.T) {
 	for name, raised := range map[string]uint64{"lower revision": 0, "same revision": 20, "higher revision": 40} {
 		t.Run(name, func(t *testing.T) {
@@ -132,8 +130,7 @@
 	}
 }
 
-// Guards against an edit that replaces what the operator did not see, because the
-// store came back from an older copy after the object was read, without a word.
+// Guards against an edit that replaces, unreported, a state which was not read.
 func TestStoreRestoredBeforeWrite(t *testing.T) {
 	env := newLoadedEnv(t)
 	env.beforeWrite = func(func()) bool {
--- a/emul/object/object_test.go
+++ b/emul/object/object_test.go
@@ -188,8 +188,7 @@
 	assert.Assert(t, err != nil)
 }
 
-// Guards against a simulated store that keeps what it must have lost, or that hides
-// from a watch that it came back from an older copy.
+// Guards against a simulated store that keeps what it must have lost.
 func TestRestore(t *testing.T) {
 	f := newFixture(t, 0)
 	rev := f.put(t, store.KindNode, name, 1, `{"v":2}`)
--- a/pkg/daemon/era_test.go
+++ b/pkg/daemon/era_test.go
@@ -12,10 +12,8 @@
 	"ebonypaddle/pkg/store"
 )
 
-// Guards against accepted settings that revert when the store comes back from an
-// older copy and gives out their revisions again, and against an instance that
-// ignores the store for good after that.
-func TestRestoredStore(t *testing.T) {
+// Guards against accepted settings that revert, and a store that is ignored for good.
+func TestRestoredStoreRevertsNoSettings(t *testing.T) {
 	node := func(name, value string) store.Object {
 		return store.Object{Kind: store.KindNode, Name: name, Rev: 2, Value: []byte(value)}
 	}
@@ -59,15 +57,14 @@
 }
 
 // Guards against changes that are missed because a watch goes on in a new era.
-func TestWatchAfterRestore(t *testing.T) {
+func TestNoWatchAcrossEras(t *testing.T) {
 	d := newDaemon(t, &fakePlatform{era: 1, rev: 9, events: []store.Event{{Rev: 9, Kind: store.KindNode, Name: "/k/order", Value: []byte(`{"generation":1,"values":{"slots":3}}`)}}})
 	assert.Assert(t, d.watchStore(t.Context()) != nil)
 	assert.Assert(t, d.settings().Nodes["/k/order"].Path == "")
 }
 
-// Guards against a live instance that gets no packets any more because the store
-// lost its entry of the instance list.
-func TestRestoredInstanceList(t *testing.T) {
+// Guards against a live instance that gets no packets because the store lost its entry.
+func TestLostInstanceIsListedAgain(t *testing.T) {
 	live, leaving := []byte(`{"state":"live"}`), []byte(`{"state":"leaving"}`)
 	for _, tc := range []struct {
 		name   string
--- a/pkg/relay/reader_test.go
+++ b/pkg/relay/reader_test.go
@@ -76,9 +76,8 @@
 	assert.Assert(t, calls <= 10, "%d calls", calls)
 }
 
-// Guards against a change that is acknowledged but not in force, settings that go
-// back, and calls without a pause, after the store came back from an older copy.
-func TestStoreRestoredFromOlderCopy(t *testing.T) {
+// Guards against a change that is not in force after the store came back from an older copy.
+func TestChangeInForceAfterRestore(t *testing.T) {
 	t.Parallel()
 	for name, lost := range map[string]uint64{"revisions given out again": 1, "lower revisions": 5} {
 		t.Run(name, func(t *testing.T) {
@@ -108,8 +107,7 @@
 	}
 }
 
-// Guards against lists without a pause while the store answers with older objects
-// than the cached ones.
+// Guards against lists without a pause while the store answers with older objects.
 func TestOlderListIsNotRepeatedAtOnce(t *testing.T) {
 	t.Parallel()
 	s, _, first := startReader(t)
@@ -141,8 +139,7 @@
 	}, poll.WithTimeout(limit), poll.WithDelay(10*time.Millisecond))
 }
 
-// Guards against a failure domain that comes back into use on an instance at once
-// when the store lost its exclusion, whether the instance reads the store or not.
+// Guards against a failure domain that comes back into use because the store lost its exclusion.
 func TestRestoredStoreKeepsExclusions(t *testing.T) {
 	t.Parallel()
 	s, _, first := startReader(t)
@@ -161,8 +158,7 @@
 	waitUntil(t, "the state of the store applies", excluded(0))
 }
 
-// Guards against instances that each list all objects when the store comes back from
-// an older copy after an outage, in which all of them began to read it.
+// Guards against instances that all list the store when it comes back from an older copy.
 func TestFewListsAfterRestore(t *testing.T) {
 	t.Parallel()
 	s, v, first := startReader(t)
@@ -189,8 +185,7 @@
 	assert.Assert(t, s.lists <= len(all)*int(cache.Kinds)/2, "%d lists", s.lists)
 }
 
-// Guards against revisions with the era that reach an instance of the version before,
-// which takes them for counters and then lists the store without a pause.
+// Guards against revisions with the era that reach an instance of the version before.
 func TestExchangeWithFormerVersion(t *testing.T) {
 	t.Parallel()
 	_, _, first := startReader(t)
--- a/pkg/revs/revs_test.go
+++ b/pkg/revs/revs_test.go
@@ -17,8 +17,7 @@
 	return r
 }
 
-// Guards against states of two eras that count as the same, and against an older
-// era that counts as newer.
+// Guards against an older era of the store that counts as newer or as equal.
 func TestOrder(t *testing.T) {
 	const highest = 1<<48 - 1
 	for i, pair := range [][2]revs.Rev{
@@ -40,8 +39,7 @@
 	}
 }
 
-// Guards against a printed revision that cannot be entered again, and against input
-// that is taken for another revision.
+// Guards against a printed revision that cannot be entered again.
 func TestParse(t *testing.T) {
 	for _, r := range []revs.Rev{0, 23, newRev(t, 2, 23), newRev(t, 1<<16-1, 1<<48-1)} {
 		got, err := revs.Parse(r.String())
--- a/pkg/router/restored_test.go
+++ b/pkg/router/restored_test.go
@@ -25,10 +25,8 @@
 	return rev
 }
 
-// Guards against new flows to a leaving server, and full load on a cold one or the
-// removal of a live one, when the store came back from an older copy that has an
-// earlier record of the process.
-func TestEarlierRecordOfAProcess(t *testing.T) {
+// Guards against new flows to a leaving server whose earlier record a restored store has.
+func TestEarlierRecordChangesNoServer(t *testing.T) {
 	for _, tc := range []struct {
 		name    string
 		leaving bool
@@ -63,9 +61,7 @@
 	return out
 }
 
-// Guards against a failure domain that comes back into use, or goes out of use, with
-// a store that lost the operators' change, and against a state that is not the
-// store's once operators had the time to write the change again.
+// Guards against a restored store that undoes an operator's change of a failure domain.
 func TestRestoredStoreKeepsDomains(t *testing.T) {
 	const out, in = true, false
 	for _, tc := range []struct {
--- a/pkg/store/era_test.go
+++ b/pkg/store/era_test.go
@@ -14,9 +14,8 @@
 	"ebonypaddle/pkg/store"
 )
 
-// Guards against revisions of two eras of the store that are compared by their
-// counters, and against a write that replaces a state which was not read.
-func TestEra(t *testing.T) {
+// Guards against revisions of two eras of the store that are compared by their counters.
+func TestRevisionsHaveTheEra(t *testing.T) {
 	const era = 2
 	status := http.StatusOK
 	ifMatch := ""
