--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,6 +15,7 @@
 var cases = map[string]func(w *world, trouble bool) (broken bool, err error){
 	"entry":  unreadableEntry,
 	"route":  addedRoute,
+	"roll":   rolledMachines,
 	"tokens": equalTokens,
 	"copy":   incompleteCopy,
 	"lapse":  lapsedEntry,
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -36,6 +36,7 @@
 	hosts     []*host
 	hostCount int
 
+	lock     net.Listener // keeps other runs off this network
 	out, in  *net.UDPConn // of the routers, of the clients
 	mu       sync.Mutex
 	flows    map[uint16]*flow
@@ -85,7 +86,7 @@
 	w := &world{rec: rec, root: root, dir: tmp, drainMs: 3 * time.Second, flows: map[uint16]*flow{}, nextPort: 40000, stop: make(chan struct{})}
 	for try := 0; ; try++ {
 		w.net, w.port = byte(20+rand.IntN(200)), uint16(12000+rand.IntN(18000))
-		if w.in, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(w.ip(5, 1), w.port))); err == nil {
+		if err = w.claim(); err == nil {
 			break
 		}
 		if try > 20 {
@@ -102,6 +103,23 @@
 	return w, nil
 }
 
+// metricsPort is the port of the deploy file at which machines serve their metrics.
+const metricsPort = 9464
+
+// claim takes a network for this run, and the clients' socket. Two runs on one network
+// would use the same metrics port.
+func (w *world) claim() error {
+	l, err := net.Listen("tcp4", netip.AddrPortFrom(w.ip(6, 1), metricsPort).String())
+	if err != nil {
+		return err
+	}
+	if w.in, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(w.ip(5, 1), w.port))); err != nil {
+		_ = l.Close()
+	}
+	w.lock = l
+	return err
+}
+
 func (w *world) storeAddr() netip.AddrPort { return netip.AddrPortFrom(w.ip(3, 1), w.port+3) }
 
 // route returns the address of route n.
