--- a/review/standin/host.go
+++ b/review/standin/host.go
@@ -34,7 +34,7 @@
 	born      int64
 	writtenAt time.Time // last write of the entry
 	stopped   bool
-	cut       bool // from the store
+	cut       bool // writes no entry
 	// acknowledgedAt is when the store acknowledged that the host is draining.
 	acknowledgedAt time.Time
 	opened, ran    int
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,6 +19,7 @@
 	"tokens": equalTokens,
 	"copy":   incompleteCopy,
 	"lapse":  lapsedEntry,
+	"silent": silentHost,
 }
 
 func main() {
