store: an object of a response that cannot be decoded leaves the others

Cause: the client decoded a response as a whole. The JSON decoder refuses values that are nested deeper than 10,000, so one object of another writer made the response malformed, and the reader repeated the same call.

Change: the members of a response and the elements of its arrays are found by quotes and brackets alone, at any depth, and each object is decoded by itself. A write without an answer does not count as undone while its object may be among those left out.

Ruled out: a higher limit of the decoder. It has none that can be set, and content of 1 MB can be nested 500,000 deep.

--- a/pkg/store/client.go
+++ b/pkg/store/client.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
@@ -87,6 +88,9 @@
 	// every further one up to MaxBackoff. Half of each delay is random jitter.
 	Backoff, MaxBackoff time.Duration
 	Counters            Counters
+	// Log gets a line for each object that is left out of a response because it
+	// cannot be decoded; nil selects the default logger.
+	Log *slog.Logger
 
 	mu        sync.Mutex
 	addrIndex int // index of the address in use
@@ -94,24 +98,25 @@
 
 // List returns the objects of a kind and the revision at which they were read.
 func (c *Client) List(ctx context.Context, kind string) ([]Object, uint64, error) {
-	return c.listPrefix(ctx, kind+"/")
+	objects, _, rev, err := c.listPrefix(ctx, kind+"/")
+	return objects, rev, err
 }
 
-func (c *Client) listPrefix(ctx context.Context, prefix string) ([]Object, uint64, error) {
-	var res struct {
-		Rev     uint64   `json:"rev"`
-		Objects []Object `json:"objects"`
-	}
+// listPrefix returns the objects whose kind and name begin with prefix, how many
+// others are left out because they cannot be decoded, and the revision.
+func (c *Client) listPrefix(ctx context.Context, prefix string) (objects []Object, leftOut int, rev uint64, err error) {
+	var res listResponse
 	era, err := c.Read(ctx, "/v1/objects?prefix="+url.QueryEscape(prefix), c.Timeout, &res)
-	if err == nil {
-		err = addEra(era, &res.Rev)
+	if err != nil {
+		return nil, 0, 0, err
 	}
-	for i := range res.Objects {
-		if err == nil {
-			err = addEra(era, &res.Objects[i].Rev)
-		}
+	if err := addEra(era, &res.Rev); err != nil {
+		return nil, 0, 0, err
 	}
-	return res.Objects, res.Rev, err
+	for _, e := range c.decodeNamed(prefix, res.Objects, era) {
+		objects = append(objects, Object{e.Kind, e.Name, e.Rev, e.Value})
+	}
+	return objects, len(res.Objects) - len(objects), res.Rev, nil
 }
 
 // addEra turns the store's counter in rev into a revision of the era. It leaves 0,
@@ -131,12 +136,16 @@
 // Get returns one object. It returns a *NotFoundError if the object does not
 // exist.
 func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
-	var o Object
-	era, err := c.Read(ctx, objectPath(kind, name), c.Timeout, &o)
-	if err == nil {
-		err = addEra(era, &o.Rev)
+	var body rawBody
+	era, err := c.Read(ctx, objectPath(kind, name), c.Timeout, &body)
+	if err != nil {
+		return Object{}, err
+	}
+	e, err := decodeEvent(body, era)
+	if err != nil {
+		return Object{}, &UnavailableError{Cause: CauseMalformed, Err: err}
 	}
-	return o, err
+	return Object{e.Kind, e.Name, e.Rev, e.Value}, nil
 }
 
 // Watch waits up to wait for changes after revision since. It returns the
@@ -144,25 +153,20 @@
 // *GoneError if the platform no longer has the changes after since, or is in another
 // era.
 func (c *Client) Watch(ctx context.Context, since uint64, wait time.Duration) ([]Event, uint64, error) {
-	var res struct {
-		Rev    uint64  `json:"rev"`
-		Events []Event `json:"events"`
-	}
+	var res watchResponse
 	from := revs.Rev(since)
 	path := fmt.Sprintf("/v1/watch?since=%d&timeout=%d", from.Counter(), wait.Milliseconds())
 	era, err := c.Read(ctx, path, c.Timeout+wait, &res)
 	if err == nil && era != from.Era() {
 		err = &GoneError{Path: path}
 	}
-	if err == nil {
-		err = addEra(era, &res.Rev)
+	if err != nil {
+		return nil, 0, err
 	}
-	for i := range res.Events {
-		if err == nil {
-			err = addEra(era, &res.Events[i].Rev)
-		}
+	if err := addEra(era, &res.Rev); err != nil {
+		return nil, 0, err
 	}
-	return res.Events, res.Rev, err
+	return c.decodeNamed(path, res.Events, era), res.Rev, nil
 }
 
 func objectPath(kind, name string) string {
@@ -170,7 +174,7 @@
 }
 
 // Read sends a GET request for path, with up to Tries attempts, and decodes the
-// JSON response into out. It returns the era of the store that responded. It is
+// JSON response into out, which may be a BodyDecoder. It returns the era of the store that responded. It is
 // exported for readers of APIs with other paths.
 // Errors include *UnavailableError, *GoneError and *NotFoundError.
 func (c *Client) Read(ctx context.Context, path string, timeout time.Duration, out any) (era uint64, err error) {
@@ -254,7 +258,12 @@
 	if err := statusError(req, res.StatusCode, b); err != nil {
 		return era, err
 	}
-	if err := Decode(b, out); err != nil {
+	if d, ok := out.(BodyDecoder); ok {
+		err = d.DecodeBody(b)
+	} else {
+		err = Decode(b, out)
+	}
+	if err != nil {
 		return era, &UnavailableError{Cause: CauseMalformed, Err: err}
 	}
 	return era, nil
--- a/pkg/store/errors.go
+++ b/pkg/store/errors.go
@@ -174,7 +174,7 @@
 		var current struct {
 			Rev uint64 `json:"rev"`
 		}
-		if err := json.Unmarshal(body, &current); err != nil {
+		if err := DecodeMembers(body, []string{"rev"}, &current.Rev); err != nil {
 			return &UnavailableError{Cause: CauseMalformed, Err: err}
 		}
 		return &ConflictError{Rev: current.Rev}
--- a/pkg/store/write.go
+++ b/pkg/store/write.go
@@ -124,6 +124,9 @@
 	return errors.As(err, &un) && un.Cause != CauseConnect && un.Cause != CauseThrottled
 }
 
+// errUndecoded reports a list with objects that cannot be decoded.
+var errUndecoded = errors.New("objects of the list cannot be decoded")
+
 // readBack reads an object until it differs from the one at revision rev, with
 // up to Tries attempts. It returns the object, or nil if it does not exist, and
 // the revision at which it was read, which is 0 if the object did not change. It
@@ -134,11 +137,15 @@
 	c.useNextAddr()
 	for attempt := 1; ; attempt++ {
 		c.Counters.ReadBacks.Add(1)
-		objs, listRev, err := c.listPrefix(ctx, kind+"/"+name)
+		objs, leftOut, listRev, err := c.listPrefix(ctx, kind+"/"+name)
 		if err != nil {
 			return nil, 0, err
 		}
-		if o := findByName(objs, name); listRev >= rev && changedSince(o, rev) {
+		o := findByName(objs, name)
+		if o == nil && leftOut > 0 {
+			return nil, 0, errUndecoded // it may be the object
+		}
+		if listRev >= rev && changedSince(o, rev) {
 			return o, listRev, nil
 		}
 		if attempt >= max(c.Tries, 1) {
