router: an open flow of a route that the instance does not know is not reset

Cause: handleOpenFlow took a route that the instance does not know for one that was dropped. The lines of the restarted instance show it: version 53 read at its start, version 55 with the route in the store 0.1 s later, seven lines "flow closed reason=unknownService version=53", version 55 applied 1.0 s after the start.

Change: a flow is refused for its route only by the instance that opened it, or once everything known here was confirmed 3 s after the flow's first packet. Same class: a copy of an opening to an unknown route is dropped; an unknown token is refused only by an instance whose records were confirmed that late. "flow closed" has the age of the confirmation.

Why it works: the flow was opened before its first packet here by an instance that knew the route. Settings that are confirmed later and lack the route can only have dropped it.

Ruled out: the wait of 1 s after the first list as the cause.

--- a/pkg/relay/peer.go
+++ b/pkg/relay/peer.go
@@ -288,6 +288,9 @@
 	if len(updates) > 0 {
 		r.applyUpdates(updates)
 	} else if r.cache.ConfirmedAt().After(previous) {
+		r.mu.Lock()
+		r.Balancer.SetConfirmed(r.cache.ConfirmedAt())
+		r.mu.Unlock()
 		r.notifyWaiters()
 	}
 }
--- a/pkg/relay/reader.go
+++ b/pkg/relay/reader.go
@@ -325,6 +325,7 @@
 	if r.cache.Complete() {
 		r.Balancer.SetSynced()
 	}
+	r.Balancer.SetConfirmed(r.cache.ConfirmedAt())
 	now := r.Clock()
 	r.Balancer.ReportLag(now, now.Sub(began))
 	r.mu.Unlock()
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -357,3 +357,20 @@
 		assert.Equal(t, r.linkBusyUntil.Sub(now), time.Duration(i+1)*40*time.Millisecond)
 	}
 }
+
+// Guards against flows of servers that are gone which no instance ends, because the
+// balancer is not told how recent its records are.
+func TestConfirmationsReachTheBalancer(t *testing.T) {
+	t.Parallel()
+	s, v, first := startReader(t)
+	second := startInstance(t, s, "second", 1, first.Control)
+	waitUntil(t, "the second instance no longer reads", func() bool { return second.version() == v && !second.readsStore() })
+	p := router.Packet{Ack: true, Token: 77, Size: 1, Caller: netip.MustParseAddrPort("127.0.0.1:9"), Service: netip.MustParseAddrPort("127.0.0.1:8")}
+	for _, i := range []*instance{first, second} {
+		waitUntil(t, "an unknown token is refused by "+i.Name, func() bool {
+			i.mu.Lock()
+			defer i.mu.Unlock()
+			return i.Balancer.Handle(time.Now(), &p).Action == router.Refuse
+		})
+	}
+}
--- a/pkg/router/balancer.go
+++ b/pkg/router/balancer.go
@@ -25,19 +25,21 @@
 	// another, so that the other instances learn of it too and can forward
 	// packets of its flows.
 	NewServerDelay time.Duration
-	// UnknownTokenGrace is how long packets with an unknown token are dropped
-	// before they are refused: another instance may have learned of a new
-	// server earlier and opened the flow.
-	UnknownTokenGrace time.Duration
+	// UnknownGrace is how much longer than the first packet of a flow with an
+	// unknown token or route the instance must have been up to date before it
+	// refuses the flow: another instance may have learned of a new server or
+	// route earlier and opened the flow. A response of the store can lack changes
+	// of the last second.
+	UnknownGrace time.Duration
 }
 
 // DefaultLimits suit an instance with a few megabytes of memory for flow
 // state.
 var DefaultLimits = Limits{
-	MaxFlows:          1 << 15,
-	RemovalGrace:      2200 * time.Millisecond,
-	NewServerDelay:    time.Second,
-	UnknownTokenGrace: 3 * time.Second,
+	MaxFlows:       1 << 15,
+	RemovalGrace:   2200 * time.Millisecond,
+	NewServerDelay: time.Second,
+	UnknownGrace:   3 * time.Second,
 }
 
 // Balancer decides for one instance where the packets of callers go. It holds
@@ -83,6 +85,7 @@
 	removedServers   int       // servers without a record, within RemovalGrace
 	synced           bool      // all server records of the store were applied
 	cleanedAt        time.Time // last removal of idle flows and old tokens
+	confirmedAt      time.Time // latest time at which everything known here was current
 	startedAt        time.Time // start of the process
 	lastCallAt       time.Time // latest call of Handle or Tick
 	healthChecksFrom time.Time // failures count from then on
@@ -152,7 +155,7 @@
 	args := make([]any, 0, 16)
 	args = append(args, "flow", p, "reason", reason)
 	if lb.settings != nil {
-		args = append(args, "version", lb.settings.Version)
+		args = append(args, "version", lb.settings.Version, "confirmed", logs.Age(now, lb.confirmedAt))
 	}
 	if !p.Open {
 		args = append(args, "token", p.Token)
@@ -175,7 +178,7 @@
 	}
 	rt := lb.routes[p.Service]
 	if rt == nil {
-		return refuse(wire.ReasonUnknownService)
+		return lb.handleUnroutedOpening(p)
 	}
 	f := lb.flows.get(p)
 	if f != nil && f.open {
@@ -203,15 +206,24 @@
 	return forward(srv)
 }
 
+// handleUnroutedOpening handles an opening to an address without a route. An
+// instance that knows a new route may have opened the flow of an earlier copy.
+func (lb *Balancer) handleUnroutedOpening(p *Packet) Verdict {
+	if p.Retransmissions > 0 {
+		return drop(wire.ReasonUnknownService)
+	}
+	return refuse(wire.ReasonUnknownService)
+}
+
 // handleOpenFlow forwards a packet of an open flow to the server of its token.
-// It refuses the packet if its route is gone or its server is unresponsive.
+// It refuses the packet if its route was dropped or its server is unresponsive.
 func (lb *Balancer) handleOpenFlow(now time.Time, p *Packet) Verdict {
 	srv := lb.byToken[p.Token]
 	if srv == nil {
 		return lb.handleUnknownToken(now, p)
 	}
 	rt := lb.routes[p.Service]
-	if lb.Ready() && rt == nil {
+	if rt == nil && lb.routeDropped(p) {
 		lb.flows.remove(p)
 		return refuse(wire.ReasonUnknownService)
 	}
@@ -222,6 +234,25 @@
 	return forward(srv)
 }
 
+// routeDropped reports whether the settings dropped the route of an open flow, which
+// they do not have. An instance that is not up to date may not know the route yet.
+func (lb *Balancer) routeDropped(p *Packet) bool {
+	f := lb.flows.get(p)
+	return lb.Ready() && f != nil && (!f.adopted || lb.upToDateSince(f.openedAt))
+}
+
+// upToDateSince reports whether this instance knows all that others knew at a time.
+func (lb *Balancer) upToDateSince(t time.Time) bool {
+	return !lb.confirmedAt.Before(t.Add(lb.Limits.UnknownGrace))
+}
+
+// SetConfirmed records that at a time everything known here was current.
+func (lb *Balancer) SetConfirmed(at time.Time) {
+	if at.After(lb.confirmedAt) {
+		lb.confirmedAt = at
+	}
+}
+
 // handleUnknownToken handles a packet whose token belongs to no known server.
 func (lb *Balancer) handleUnknownToken(now time.Time, p *Packet) Verdict {
 	if p.Reset {
@@ -235,7 +266,7 @@
 	if !ok && len(lb.unknownTokens) < maxUnknownTokens {
 		lb.unknownTokens[p.Token] = now
 	}
-	if !lb.Ready() || !ok || now.Sub(firstSeen) < lb.Limits.UnknownTokenGrace {
+	if !lb.Ready() || !ok || !lb.upToDateSince(firstSeen) {
 		return drop(wire.ReasonUnknownFlow)
 	}
 	return refuse(wire.ReasonUnknownFlow)
--- a/pkg/router/balancer_test.go
+++ b/pkg/router/balancer_test.go
@@ -150,7 +150,9 @@
 	c.token = 77
 	assertDropped(t, c.data(startTime, 0, 1, 0), wire.ReasonUnknownFlow)
 	runTicks(lb, startTime, startTime.Add(2900*time.Millisecond))
+	lb.SetConfirmed(startTime.Add(2900 * time.Millisecond))
 	assertDropped(t, c.data(startTime.Add(2900*time.Millisecond), 0, 1, 0), wire.ReasonUnknownFlow)
+	lb.SetConfirmed(startTime.Add(3 * time.Second))
 	assertRefused(t, c.data(startTime.Add(3*time.Second), 0, 1, 0), wire.ReasonUnknownFlow)
 
 	d := newCaller(lb, 2, serviceAddr)
--- a/pkg/router/flow.go
+++ b/pkg/router/flow.go
@@ -30,7 +30,11 @@
 	server       *server
 	open         bool
 	lastPacketAt time.Time
-	// openedAt is when the opening was last forwarded.
+	// adopted is set if another instance opened the flow, or this one before it
+	// discarded the flow's state.
+	adopted bool
+	// openedAt is when the opening was last forwarded, or an adopted flow's first
+	// packet came.
 	openedAt time.Time
 	// seq is the sequence number after the last data that the caller sent,
 	// acked the caller's highest acknowledgement.
@@ -183,7 +187,7 @@
 	t.put(now, p, srv)
 	f := t.get(p)
 	srv.load.openingDone()
-	f.open, f.acked = true, p.Acked
+	f.open, f.adopted, f.acked = true, true, p.Acked
 	return f
 }
 
