router: a flow of a server that started again under its ID is not reset

A packet with the token of a removed server was refused at once. A server may start again under its ID and then has the same token, so an instance that had not heard of it yet reset its new flows.

Change: the packet is refused at once if the flow is known here, or if everything known here was confirmed within NewServerDelay: the server gets flows only that long after other instances learned of it. Otherwise the packet is dropped like one with an unknown token.

Evidence: TestServerStartedAgain fails before (refused instead of dropped). No run with processes showed the fault; it was found by reading.

--- a/pkg/router/balancer.go
+++ b/pkg/router/balancer.go
@@ -258,7 +258,7 @@
 	if p.Reset {
 		return drop(wire.ReasonUnknownFlow)
 	}
-	if lb.removedTokens.has(p.Token) {
+	if lb.removedTokens.has(p.Token) && lb.serverGone(now, p) {
 		lb.flows.remove(p)
 		return refuse(wire.ReasonServerGone)
 	}
@@ -272,6 +272,14 @@
 	return refuse(wire.ReasonUnknownFlow)
 }
 
+// serverGone reports whether the flow of a packet with the token of a removed server
+// was open at that server. The server may have started again under its ID since, which
+// has the same token. It then gets flows only NewServerDelay after others learned of it.
+func (lb *Balancer) serverGone(now time.Time, p *Packet) bool {
+	f := lb.flows.get(p)
+	return f != nil && f.server.token == p.Token || now.Sub(lb.confirmedAt) < lb.Limits.NewServerDelay
+}
+
 // Tick removes servers whose grace period has ended and, once a second, idle
 // flows and old unknown tokens. Call it every 100 ms: gaps above maxCallGap
 // between calls count as pauses of the process.
--- a/pkg/router/lag_test.go
+++ b/pkg/router/lag_test.go
@@ -100,3 +100,24 @@
 	assertRefused(t, c.data(now.Add(20*time.Second), 0, 1, 0), wire.ReasonUnknownFlow)
 	assert.Equal(t, lb.Stats.Refused.Get(wire.ReasonUnknownFlow), uint64(1))
 }
+
+// Guards against resets of flows of a server that started again under its ID, by an
+// instance that knows only that it was removed.
+func TestServerStartedAgain(t *testing.T) {
+	lb := newBalancer(serverRecord(1, "a"), serverRecord(2, "a"))
+	own := newCaller(lb, 8, serviceAddr)
+	assertForwarded(t, own.open(startTime, 0))
+	token := own.token
+	name := lb.byToken[token].name
+	lb.ApplyServers(startTime, []Change[Server]{{Name: name, Rev: 9, Deleted: true}}, false)
+	now := startTime.Add(lb.Limits.RemovalGrace)
+	lb.Tick(now)
+	lb.SetConfirmed(now)
+	other := newCaller(lb, 9, serviceAddr)
+	other.token = token
+	later := now.Add(lb.Limits.NewServerDelay)
+	assertDropped(t, other.data(later, 0, 1, 0), wire.ReasonUnknownFlow)
+	assertRefused(t, own.data(later, 0, 1, 0), wire.ReasonServerGone)
+	lb.SetConfirmed(later)
+	assertRefused(t, other.data(later, 0, 1, 0), wire.ReasonServerGone)
+}
