router: the token of a server does not depend on the order in which it became known

Cause: a server got the first of its tokens that was free on the instance at that moment. Of two servers with one token, instances that had known one of them first gave it to that one, and an instance that listed both at once to the other.

Change: a token belongs to the server that started first of all that have it among theirs. Instances forward all three tokens of a server; new flows get the first one that it owns, and go on getting it. Related: after the earlier server left, an instance that never knew it refused the flows of the other one.

Why it works: the owner of a token is a function of the servers alone, and a server that comes later takes no token from an earlier one.

Ruled out: the order of creation in the store (lapsed records lose their place), the lower id (takes tokens of open flows), a new hash (old and new instances would disagree on all servers during an upgrade).

--- a/pkg/router/balancer.go
+++ b/pkg/router/balancer.go
@@ -72,7 +72,7 @@
 	services         map[string]Service
 	marks            domainMarks
 	byName           map[string]*server
-	byToken          map[uint32]*server
+	tokens           tokenTable
 	pools            map[string]*pool
 	flows            flowTable
 	removedTokens    tokenSet             // tokens of servers that are no longer used
@@ -107,7 +107,7 @@
 	}
 	lb.marks.start()
 	lb.byName = map[string]*server{}
-	lb.byToken = map[uint32]*server{}
+	lb.tokens.start()
 	lb.pools = map[string]*pool{}
 	lb.unknownTokens = map[uint32]time.Time{}
 	lb.domains = map[string]*domain{}
@@ -163,7 +163,7 @@
 	if since, ok := lb.unknownTokens[p.Token]; ok && !p.Open {
 		args = append(args, "unknownFor", now.Sub(since))
 	}
-	if srv := lb.byToken[p.Token]; srv != nil && !p.Open {
+	if srv := lb.tokens.owner(p.Token); srv != nil && !p.Open {
 		args = append(args, "server", srv.name, "rev", srv.Rev, "misses", srv.health.failures, "unacked", srv.health.retransmissions)
 		args = append(args, "answeredBefore", logs.Age(now, srv.health.answeredAt))
 	}
@@ -218,7 +218,7 @@
 // handleOpenFlow forwards a packet of an open flow to the server of its token.
 // It refuses the packet if its route was dropped or its server is unresponsive.
 func (lb *Balancer) handleOpenFlow(now time.Time, p *Packet) Verdict {
-	srv := lb.byToken[p.Token]
+	srv := lb.tokens.owner(p.Token)
 	if srv == nil {
 		return lb.handleUnknownToken(now, p)
 	}
@@ -277,7 +277,8 @@
 // has the same token. It then gets flows only NewServerDelay after others learned of it.
 func (lb *Balancer) serverGone(now time.Time, p *Packet) bool {
 	f := lb.flows.get(p)
-	return f != nil && f.server.token == p.Token || now.Sub(lb.confirmedAt) < lb.Limits.NewServerDelay
+	known := f != nil && f.server.hasToken(p.Token)
+	return known || now.Sub(lb.confirmedAt) < lb.Limits.NewServerDelay
 }
 
 // Tick removes servers whose grace period has ended and, once a second, idle
@@ -297,7 +298,7 @@
 	}
 	lb.flows.expire(now, idleTimeout)
 	for t, since := range lb.unknownTokens {
-		if _, known := lb.byToken[t]; known || now.Sub(since) > unknownTokenTTL {
+		if lb.tokens.owner(t) != nil || now.Sub(since) > unknownTokenTTL {
 			delete(lb.unknownTokens, t)
 		}
 	}
--- a/pkg/router/lag_test.go
+++ b/pkg/router/lag_test.go
@@ -108,7 +108,7 @@
 	own := newCaller(lb, 8, serviceAddr)
 	assertForwarded(t, own.open(startTime, 0))
 	token := own.token
-	name := lb.byToken[token].name
+	name := lb.tokens.owner(token).name
 	lb.ApplyServers(startTime, []Change[Server]{{Name: name, Rev: 9, Deleted: true}}, false)
 	now := startTime.Add(lb.Limits.RemovalGrace)
 	lb.Tick(now)
--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -30,35 +30,6 @@
 
 func (srv *server) target() Target { return Target{srv.ID, srv.Addr, srv.token} }
 
-// tokensPerServer is the number of tokens that a server may try. With one
-// token each, 140,000 servers would have two collisions on average.
-const tokensPerServer = 4
-
-// tokens returns the possible tokens of a server in order of preference. The
-// first tokens of IDs that fit in 32 bits never collide.
-func tokens(id ServerID) [tokensPerServer]uint32 {
-	var out [tokensPerServer]uint32
-	h := uint64(id)
-	for i := range out {
-		out[i] = max(uint32(h)^uint32(h>>32), 1)
-		h = (h + 1) * 0x9E3779B97F4A7C15 // Fibonacci hashing, 2^64 divided by the golden ratio
-	}
-	return out
-}
-
-// claimToken gives a server the first of its tokens that is free. A server
-// without a free token gets no flows.
-func (lb *Balancer) claimToken(srv *server) {
-	for _, t := range tokens(srv.ID) {
-		if _, taken := lb.byToken[t]; !taken {
-			srv.token = t
-			lb.byToken[t] = srv
-			return
-		}
-	}
-	lb.Log.Warn("server has no free token and gets no flows", "server", srv.name, "rev", srv.Rev)
-}
-
 // ApplyServers applies changed server records. With full set, changes lists
 // all records that exist, and all other servers are removed. A record with a
 // lower revision than the known one is out of date and ignored. The first list
@@ -142,7 +113,12 @@
 		srv.addedAt = time.Time{}
 	}
 	lb.byName[c.Name] = srv
-	lb.claimToken(srv)
+	for _, other := range lb.tokens.claim(srv) {
+		lb.Log.Warn("server lost a token to one that started earlier", "server", other.name, "to", srv.name, "rev", srv.Rev)
+	}
+	if srv.token == 0 {
+		lb.Log.Warn("server has no free token and gets no flows", "server", srv.name, "rev", srv.Rev)
+	}
 	lb.startShare(srv)
 	lb.pool(srv.Service).add(srv, srv.Domain == lb.Domain)
 	return srv
@@ -174,9 +150,8 @@
 	if !srv.removedAt.IsZero() {
 		lb.removedServers--
 	}
-	if lb.byToken[srv.token] == srv {
-		delete(lb.byToken, srv.token)
-		lb.removedTokens.add(srv.token)
+	for _, token := range lb.tokens.release(srv) {
+		lb.removedTokens.add(token)
 	}
 }
 
--- a/pkg/router/token.go
+++ b/pkg/router/token.go
@@ -1,8 +1,15 @@
 package router
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 const (
+	// tokensPerServer is the number of tokens of a server. With one token each,
+	// 140,000 servers would have two collisions on average.
+	tokensPerServer = 3
 	// maxUnknownTokens bounds the unknown tokens that an instance remembers,
 	// since anyone can send packets with such tokens.
 	maxUnknownTokens = 4096
@@ -13,6 +20,106 @@
 	maxRemovedTokens = 4096
 )
 
+// tokens returns the possible tokens of a server in order of preference. The
+// first tokens of IDs that fit in 32 bits never collide.
+func tokens(id ServerID) [tokensPerServer]uint32 {
+	var out [tokensPerServer]uint32
+	h := uint64(id)
+	for i := range out {
+		out[i] = max(uint32(h)^uint32(h>>32), 1)
+		h = (h + 1) * 0x9E3779B97F4A7C15 // Fibonacci hashing, 2^64 divided by the golden ratio
+	}
+	return out
+}
+
+// hasToken reports whether a token is one of the server's.
+func (srv *server) hasToken(token uint32) bool {
+	all := tokens(srv.ID)
+	return slices.Contains(all[:], token)
+}
+
+// tokenTable says which server a token belongs to. Of all servers that have a token
+// among theirs, it is the one that started first. That depends only on the servers,
+// not on the order in which an instance learns of them, so instances that know the
+// same servers agree, and a new server takes no token from an earlier one.
+type tokenTable struct {
+	owners map[uint32]*server
+	// others holds, for the few tokens of several servers, those that do not own it.
+	others map[uint32][]*server
+}
+
+func (t *tokenTable) start() { t.owners, t.others = map[uint32]*server{}, map[uint32][]*server{} }
+
+// owner returns the server of a token, or nil if it belongs to none.
+func (t *tokenTable) owner(token uint32) *server { return t.owners[token] }
+
+// compareStarts orders servers by the start of their processes.
+func compareStarts(a, b *server) int {
+	return cmp.Or(a.StartedAt.Compare(b.StartedAt), cmp.Compare(a.ID, b.ID), cmp.Compare(a.name, b.name))
+}
+
+// claim adds a server and sets the token that its new flows get. It returns the
+// servers from which it took a token.
+func (t *tokenTable) claim(srv *server) (displaced []*server) {
+	for _, token := range tokens(srv.ID) {
+		owner := t.owners[token]
+		switch {
+		case owner == srv:
+		case owner == nil:
+			t.owners[token] = srv
+		case compareStarts(srv, owner) < 0:
+			t.owners[token] = srv
+			t.others[token] = append(t.others[token], owner)
+			t.choose(owner)
+			displaced = append(displaced, owner)
+		default:
+			t.others[token] = append(t.others[token], srv)
+		}
+	}
+	t.choose(srv)
+	return displaced
+}
+
+// choose sets the token that new flows of a server get: the one that it has if it
+// owns that, else the first one that it owns, or 0 if it owns none. Instances may
+// choose different ones, but all forward each of them to the same server.
+func (t *tokenTable) choose(srv *server) {
+	if srv.token != 0 && t.owners[srv.token] == srv {
+		return
+	}
+	srv.token = 0
+	for _, token := range tokens(srv.ID) {
+		if t.owners[token] == srv {
+			srv.token = token
+			return
+		}
+	}
+}
+
+// release removes a server and returns the tokens that belong to no server any more.
+func (t *tokenTable) release(srv *server) (unowned []uint32) {
+	for _, token := range tokens(srv.ID) {
+		others := slices.DeleteFunc(t.others[token], func(o *server) bool { return o == srv })
+		if t.owners[token] == srv {
+			if len(others) == 0 {
+				delete(t.owners, token)
+				unowned = append(unowned, token)
+				continue
+			}
+			next := slices.MinFunc(others, compareStarts)
+			others = slices.DeleteFunc(others, func(o *server) bool { return o == next })
+			t.owners[token] = next
+			t.choose(next)
+		}
+		if len(others) == 0 {
+			delete(t.others, token)
+		} else {
+			t.others[token] = others
+		}
+	}
+	return unowned
+}
+
 // tokenSet holds the latest maxRemovedTokens tokens of removed servers.
 type tokenSet struct {
 	set  map[uint32]bool
--- /dev/null
+++ b/pkg/router/token_test.go
@@ -0,0 +1,116 @@
+package router
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// rivals returns records of servers that share tokens: the first three have the same
+// first token, and the second token of the first one is the first one of the fourth.
+func rivals(t *testing.T) []Change[Server] {
+	t.Helper()
+	ids := []ServerID{0xf4935071de, 0x4f93507165, 0x019350712b, ServerID(tokens(0xf4935071de)[1])}
+	var out []Change[Server]
+	for i, id := range ids {
+		r := serverRecord(i+1, "a")
+		r.Value.ID = id
+		r.Value.StartedAt = startTime.Add(time.Duration(i) * time.Second)
+		out = append(out, r)
+	}
+	for _, r := range out[:3] {
+		assert.Equal(t, tokens(r.Value.ID)[0], tokens(ids[0])[0])
+	}
+	assert.Equal(t, tokens(ids[3])[0], tokens(ids[0])[1])
+	return out
+}
+
+// Guards against flows that reach another server because instances that learned of two
+// servers in another order disagree on their tokens.
+func TestTokensDoNotDependOnTheOrder(t *testing.T) {
+	records := rivals(t)
+	rnd := rand.New(rand.NewPCG(1, 1))
+	for range 200 {
+		a, b := newBalancer(), newBalancer()
+		for _, lb := range []*Balancer{a, b} {
+			for _, i := range rnd.Perm(len(records)) {
+				lb.ApplyServers(startTime, records[i:i+1], false)
+			}
+		}
+		for _, r := range records {
+			id := r.Value.ID
+			token := a.byName[r.Name].token
+			assert.Assert(t, token != 0)
+			for _, lb := range []*Balancer{a, b} {
+				owner := lb.tokens.owner(token)
+				assert.Assert(t, owner != nil && owner.ID == id, "token %d of %x", token, id)
+			}
+		}
+	}
+}
+
+// Guards against open flows that reach another server after the earlier of two servers
+// with one token left, at instances that knew it and at those that did not.
+func TestTokensAfterTheEarlierServerLeft(t *testing.T) {
+	records := rivals(t)[:2]
+	old := newBalancer(records...)
+	c := newCaller(old, 1, serviceAddr)
+	for c.open(startTime.Add(2*time.Second), 0).To.Server != records[1].Value.ID {
+		c.packet.Caller = newCaller(old, c.packet.Caller.Port()+1, serviceAddr).packet.Caller
+	}
+	gone := startTime.Add(3 * time.Second)
+	old.ApplyServers(gone, []Change[Server]{{Name: records[0].Name, Rev: 9, Deleted: true}}, false)
+	old.Tick(gone.Add(old.Limits.RemovalGrace))
+	restarted := newBalancer(records[1])
+	later := gone.Add(old.Limits.RemovalGrace)
+	d := newCaller(restarted, 7, serviceAddr)
+	assertForwarded(t, d.open(later, 0))
+	for _, lb := range []*Balancer{old, restarted} {
+		for _, flow := range []*caller{c, d} {
+			flow.lb = lb
+			v := flow.data(later, 0, 1, 0)
+			assertForwarded(t, v)
+			assert.Equal(t, v.To.Server, records[1].Value.ID)
+		}
+	}
+}
+
+// Guards against tokens that are left behind, or given up while a server needs them,
+// as servers with common tokens come and go.
+func TestTokensOfServersThatComeAndGo(t *testing.T) {
+	records := rivals(t)
+	rnd := rand.New(rand.NewPCG(1, 2))
+	var table tokenTable
+	table.start()
+	present := map[ServerID]*server{}
+	for range 2000 {
+		r := records[rnd.IntN(len(records))]
+		if srv := present[r.Value.ID]; srv != nil {
+			for _, token := range table.release(srv) {
+				assert.Assert(t, table.owner(token) == nil)
+			}
+			delete(present, r.Value.ID)
+		} else {
+			srv = &server{Server: r.Value, name: r.Name}
+			table.claim(srv)
+			present[r.Value.ID] = srv
+		}
+		var fresh tokenTable
+		fresh.start()
+		for _, r := range records {
+			if present[r.Value.ID] != nil {
+				fresh.claim(&server{Server: r.Value, name: r.Name})
+			}
+		}
+		assert.Equal(t, len(table.owners), len(fresh.owners))
+		for token, srv := range fresh.owners {
+			assert.Equal(t, table.owner(token).ID, srv.ID)
+		}
+		for _, srv := range present {
+			assert.Assert(t, table.owner(srv.token) == srv)
+		}
+		assert.Equal(t, len(table.others), len(fresh.others))
+	}
+}
