--- a/pkg/router/place.go
+++ b/pkg/router/place.go
@@ -115,7 +115,7 @@
 // and load.
 func (lb *Balancer) usable(srv *server) bool {
 	_, excluded := lb.marks.excluded[srv.Domain]
-	return !excluded && !srv.Leaving && !srv.noNewFlows && srv.token != 0 && lb.byName[srv.name] == srv
+	return !excluded && !lb.tokens.leaving(srv) && !srv.noNewFlows && srv.token != 0 && lb.byName[srv.name] == srv
 }
 
 // healthy reports whether a server may get a new flow while others can, too.
--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -24,8 +24,10 @@
 	// noNewFlows is set if the server gets no new flows meanwhile.
 	removedAt  time.Time
 	noNewFlows bool
-	health     passiveHealth
-	load       load
+	// twin is set when another record has the same ID.
+	twin   bool
+	health passiveHealth
+	load   load
 }
 
 func (srv *server) target() Target { return Target{srv.ID, srv.Addr, srv.token} }
--- a/pkg/router/token.go
+++ b/pkg/router/token.go
@@ -63,6 +63,9 @@
 func (t *tokenTable) claim(srv *server) (displaced []*server) {
 	for _, token := range tokens(srv.ID) {
 		owner := t.owners[token]
+		if owner != nil && owner != srv && owner.ID == srv.ID {
+			owner.twin, srv.twin = true, true
+		}
 		switch {
 		case owner == srv:
 		case owner == nil:
@@ -96,6 +99,17 @@
 	}
 }
 
+// leaving reports whether any record with the ID of a server says that it is leaving.
+// The server's own record is one of them.
+func (t *tokenTable) leaving(srv *server) bool {
+	if srv.Leaving || !srv.twin {
+		return srv.Leaving
+	}
+	first := tokens(srv.ID)[0]
+	twinLeaves := func(o *server) bool { return o.ID == srv.ID && o.Leaving }
+	return twinLeaves(t.owners[first]) || slices.ContainsFunc(t.others[first], twinLeaves)
+}
+
 // release removes a server and returns the tokens that belong to no server any more.
 func (t *tokenTable) release(srv *server) (unowned []uint32) {
 	for _, token := range tokens(srv.ID) {
--- a/pkg/router/token_test.go
+++ b/pkg/router/token_test.go
@@ -114,3 +114,41 @@
 		assert.Equal(t, len(table.others), len(fresh.others))
 	}
 }
+
+// Guards against new flows to a server that reports that it is leaving, because another
+// record with its ID says that it is not.
+func TestTwoRecordsOfOneServer(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		leaves int           // the record that says that the server is leaving
+		later  time.Duration // how much later the first one says that the server started
+	}{{"the first record", 1, 0}, {"the second record", 2, 0}, {"the one with the later start", 1, time.Minute}, {"the one with the earlier start", 2, time.Minute}} {
+		t.Run(tc.name, func(t *testing.T) {
+			one, two := serverRecord(1, "a"), serverRecord(1, "a")
+			two.Name = "inventory-1"
+			one.Value.StartedAt = startTime.Add(tc.later)
+			two.Value.StartedAt = startTime
+			lb := newBalancer(one, two, serverRecord(2, "a"))
+			var flows []*caller
+			for port := range uint16(20) {
+				c := newCaller(lb, port, serviceAddr)
+				assertForwarded(t, c.open(startTime, 0))
+				flows = append(flows, c)
+			}
+			left := &one
+			if tc.leaves == 2 {
+				left = &two
+			}
+			left.Rev, left.Value.Leaving = 2, true
+			lb.ApplyServers(startTime, []Change[Server]{*left}, false)
+			for port := range uint16(50) {
+				v := newCaller(lb, 100+port, serviceAddr).open(startTime, 0)
+				assertForwarded(t, v)
+				assert.Equal(t, v.To.Server, ServerID(2))
+			}
+			for _, c := range flows {
+				assertForwarded(t, c.data(startTime, 0, 1, 0))
+			}
+		})
+	}
+}
