router: the time to hear of a removed server counts against the time for new flows

Cause: an instance gave new flows to a removed server for up to RemovalGrace (2.2 s) after it learned of the removal, which it may do 2.4 s late. Each was bounded, their sum was above DrainMs.

Change: one budget. The record existed when everything known here was last confirmed, so new flows end at that time plus DrainMs, less 1 s by which a response of the store can be behind. An instance that was not confirmed for DrainMs or longer was cut off, or the store answered nobody; records then expire in numbers and come back, and the grace period stays. Open flows go on for RemovalGrace as before.

Looked for elsewhere: excluded failure domains (2.4 s to hear of them and 2.2 s after a restored store, bound 5 s) and settings (no grace period) have no such sum.

--- a/pkg/router/balancer.go
+++ b/pkg/router/balancer.go
@@ -21,6 +21,9 @@
 	// callers recently. A server whose record expired during an outage of the
 	// store renews it within about 2 s of the store's return.
 	RemovalGrace time.Duration
+	// MaxLeavingDelay is the time after a server's record was removed from which on
+	// it must get no new flows.
+	MaxLeavingDelay time.Duration
 	// NewServerDelay is how long a new server gets no flows while there is
 	// another, so that the other instances learn of it too and can forward
 	// packets of its flows.
@@ -36,10 +39,11 @@
 // DefaultLimits suit an instance with a few megabytes of memory for flow
 // state.
 var DefaultLimits = Limits{
-	MaxFlows:       1 << 15,
-	RemovalGrace:   2200 * time.Millisecond,
-	NewServerDelay: time.Second,
-	UnknownGrace:   3 * time.Second,
+	MaxFlows:        1 << 15,
+	RemovalGrace:    2200 * time.Millisecond,
+	MaxLeavingDelay: 3 * time.Second,
+	NewServerDelay:  time.Second,
+	UnknownGrace:    3 * time.Second,
 }
 
 // Balancer decides for one instance where the packets of callers go. It holds
--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -20,10 +20,11 @@
 	// nextColdFlowAt is the earliest time at which this instance may open
 	// another flow at the server during its cold start.
 	nextColdFlowAt time.Time
-	// removedAt is when the record was removed; zero while there is a record.
-	// noNewFlows is set if the server gets no new flows meanwhile.
-	removedAt  time.Time
-	noNewFlows bool
+	// removedAt is when this instance learned that the record was removed; zero
+	// while there is a record. The server gets new flows until newFlowsUntil
+	// meanwhile, and none once noNewFlows is set.
+	removedAt, newFlowsUntil time.Time
+	noNewFlows               bool
 	// twin is set when another record has the same ID.
 	twin   bool
 	health passiveHealth
@@ -136,11 +137,28 @@
 		return
 	}
 	srv.removedAt = now
+	srv.newFlowsUntil = lb.removedServerUntil(now)
 	lb.removedServers++
-	srv.noNewFlows = srv.Leaving || !srv.health.recentlyAnswered(now)
-	lb.Log.Info("server removed from the store", "server", srv.name, "service", srv.Service, "leaving", srv.Leaving, "newFlows", !srv.noNewFlows, "answeredBefore", logs.Age(now, srv.health.answeredAt), "rev", srv.Rev)
+	srv.noNewFlows = srv.Leaving || !srv.health.recentlyAnswered(now) || !now.Before(srv.newFlowsUntil)
+	lb.Log.Info("server removed from the store", "server", srv.name, "service", srv.Service, "leaving", srv.Leaving, "newFlows", !srv.noNewFlows, "until", srv.newFlowsUntil.Sub(now), "confirmed", logs.Age(now, lb.confirmedAt), "answeredBefore", logs.Age(now, srv.health.answeredAt), "rev", srv.Rev)
 }
 
+// removedServerUntil returns until when a server whose record was removed may get new
+// flows. The record was there when everything known here was last confirmed, so
+// MaxLeavingDelay counts from then at the earliest. An instance that was not confirmed
+// for as long was cut off from the store, or the store did not answer anyone: many
+// records expire then, and most servers renew theirs.
+func (lb *Balancer) removedServerUntil(now time.Time) time.Time {
+	if now.Sub(lb.confirmedAt) >= lb.Limits.MaxLeavingDelay {
+		return now.Add(lb.Limits.RemovalGrace)
+	}
+	return lb.confirmedAt.Add(lb.Limits.MaxLeavingDelay - confirmationLag)
+}
+
+// confirmationLag is how far a confirmation can be behind: a response of the store can
+// lack changes of the last second.
+const confirmationLag = time.Second
+
 // dropServer removes a server. Later packets of its flows are refused.
 func (lb *Balancer) dropServer(srv *server) {
 	delete(lb.byName, srv.name)
@@ -158,13 +176,17 @@
 }
 
 // expireRemoved drops servers whose record was not renewed within
-// RemovalGrace.
+// RemovalGrace, and ends new flows to those that may get none any more.
 func (lb *Balancer) expireRemoved(now time.Time) {
 	if lb.removedServers == 0 {
 		return
 	}
 	for _, srv := range lb.byName {
-		if !srv.removedAt.IsZero() && now.Sub(srv.removedAt) >= lb.Limits.RemovalGrace {
+		if srv.removedAt.IsZero() {
+			continue
+		}
+		srv.noNewFlows = srv.noNewFlows || !now.Before(srv.newFlowsUntil)
+		if now.Sub(srv.removedAt) >= lb.Limits.RemovalGrace {
 			lb.Log.Info("server did not renew its record", "server", srv.name, "after", now.Sub(srv.removedAt))
 			lb.dropServer(srv)
 		}
