router: openings that waited in the socket during a long pause are not placed

Trace: a frozen instance wakes 3.9 s after the removal of a server's entry, places the openings in its socket within 1 ms, and hears of the removal 5 ms later. It was not in touch, so no rule binds it (the stand-in names the machine of a flow's latest copy), but callers had given up most of these openings.

Change: after a pause above 1.4 s, the time after which callers give up an opening, an instance drops openings until its records are confirmed, for 0.4 s at most.

Tests that jump in time without ticks now tick: a jump is a pause, and it is not what they are about.

--- a/pkg/router/balancer.go
+++ b/pkg/router/balancer.go
@@ -92,6 +92,7 @@
 	confirmedAt      time.Time // latest time at which everything known here was current
 	startedAt        time.Time // start of the process
 	lastCallAt       time.Time // latest call of Handle or Tick
+	resumedAt        time.Time // end of the last pause above openingLifetime
 	healthChecksFrom time.Time // failures count from then on
 	closeFlowsFrom   time.Time // flows of unresponsive servers are closed from then on
 }
@@ -180,6 +181,9 @@
 	if !lb.Ready() {
 		return drop(wire.ReasonNoSettings)
 	}
+	if lb.staleAfterPause(now) {
+		return drop(wire.ReasonNotFresh)
+	}
 	rt := lb.routes[p.Service]
 	if rt == nil {
 		return lb.handleUnroutedOpening(p)
--- a/pkg/router/health.go
+++ b/pkg/router/health.go
@@ -58,6 +58,8 @@
 	// that arrive then may have waited in the socket for an unknown time, and
 	// missing ones may be delayed.
 	pauseGrace = 400 * time.Millisecond
+	// openingLifetime is the time after which callers give up an opening.
+	openingLifetime = 1400 * time.Millisecond
 	// maxLag is the longest time that a packet may wait in the instance's own
 	// socket. Behind a longer queue, the instance reads retransmissions before
 	// the packets that confirm the answer.
@@ -245,6 +247,9 @@
 		lb.healthChecksFrom = now.Add(pauseGrace)
 		lb.closeFlowsFrom = lb.healthChecksFrom.Add(closeGrace)
 		lb.pendingOpenings, lb.nextPending = lb.pendingOpenings[:0], 0
+		if gap > openingLifetime {
+			lb.resumedAt = now
+		}
 	}
 	lb.lastCallAt = now
 	for lb.nextPending < len(lb.pendingOpenings) && now.Sub(lb.pendingOpenings[lb.nextPending].openedAt) >= openingTimeout {
@@ -261,6 +266,13 @@
 	}
 }
 
+// staleAfterPause reports whether this instance may not place openings after a long
+// pause: most of those in its socket were given up, and its records are as old as the
+// pause until they are confirmed. The other instances serve the callers meanwhile.
+func (lb *Balancer) staleAfterPause(now time.Time) bool {
+	return now.Sub(lb.resumedAt) < pauseGrace && lb.confirmedAt.Before(lb.resumedAt)
+}
+
 // Isolated reports whether there is a service for which all servers that may
 // take new flows are in unreachable failure domains. Other instances can then
 // serve the callers better.
--- a/pkg/router/health_test.go
+++ b/pkg/router/health_test.go
@@ -197,6 +197,7 @@
 	again.Rev, again.Value.StartedAt = 2, startTime
 	lb.ApplyServers(startTime, []Change[Server]{again}, false)
 	assert.Equal(t, lb.byName["s1"].health.failures, 0)
+	runTicks(lb, startTime, startTime.Add(2*time.Second))
 	assertForwarded(t, newCaller(lb, 1, serviceAddr).open(startTime.Add(2*time.Second), 0))
 }
 
