router: a list clears the pending mark of a failure domain that it lacks

Cause: within 2.2 s after a restored store, a list that names a failure domain which operators took back left a pending mark. The next list without the domain did not clear it, so the domain was taken out when that time ended, and nothing named it any more.

Change: a full list also goes through the pending marks.

Found by the review in a model, not seen with processes.

--- a/pkg/router/exclude.go
+++ b/pkg/router/exclude.go
@@ -57,6 +57,11 @@
 			mark(now, name, 0, false)
 		}
 	}
+	for name := range lb.marks.pending {
+		if !listed[name] {
+			mark(now, name, 0, false)
+		}
+	}
 }
 
 // setListedDomain takes over the state of a failure domain from a list of a restored
