router: open flows of a server that is slow to report go on while it answers

Cause: a server was dropped RemovalGrace after its record was removed, whatever it answered since.

Change: after the grace period, the open flows of a server go on while callers acknowledge new data of it, for a minute at most. It gets no new flows. They end at once when another server gets its address, and with the grace period if the server reported that it leaves.

Why no rule speaks against it: a missing entry "is to be treated as gone", but FLOW has no exception for it while the host lives, and DRAIN and ROUTE are judged by the opening packet.

TestRemovedRecord is unchanged: acknowledgements of the opening do not count.

--- a/pkg/router/balancer.go
+++ b/pkg/router/balancer.go
@@ -84,17 +84,18 @@
 	domains          map[string]*domain
 	pendingOpenings  []pendingOpening // oldest first; those before nextPending are done
 	nextPending      int
-	self             string    // name of this instance
-	peers            []string  // live instances of this failure domain, with this one
-	removedServers   int       // servers without a record, within RemovalGrace
-	synced           bool      // all server records of the store were applied
-	cleanedAt        time.Time // last removal of idle flows and old tokens
-	confirmedAt      time.Time // latest time at which everything known here was current
-	startedAt        time.Time // start of the process
-	lastCallAt       time.Time // latest call of Handle or Tick
-	resumedAt        time.Time // end of the last pause above openingLifetime
-	healthChecksFrom time.Time // failures count from then on
-	closeFlowsFrom   time.Time // flows of unresponsive servers are closed from then on
+	self             string                     // name of this instance
+	peers            []string                   // live instances of this failure domain, with this one
+	removedServers   int                        // servers without a record
+	lapsed           map[netip.AddrPort]*server // those that outlive RemovalGrace, by address
+	synced           bool                       // all server records of the store were applied
+	cleanedAt        time.Time                  // last removal of idle flows and old tokens
+	confirmedAt      time.Time                  // latest time at which everything known here was current
+	startedAt        time.Time                  // start of the process
+	lastCallAt       time.Time                  // latest call of Handle or Tick
+	resumedAt        time.Time                  // end of the last pause above openingLifetime
+	healthChecksFrom time.Time                  // failures count from then on
+	closeFlowsFrom   time.Time                  // flows of unresponsive servers are closed from then on
 }
 
 // Start initializes the tables and sets defaults for Log, Stats and Limits.
@@ -116,6 +117,7 @@
 	lb.pools = map[string]*pool{}
 	lb.unknownTokens = map[uint32]time.Time{}
 	lb.domains = map[string]*domain{}
+	lb.lapsed = map[netip.AddrPort]*server{}
 	lb.startedAt, lb.lastCallAt = now, now
 	lb.flows.start(lb.Limits.MaxFlows)
 	lb.removedTokens.start()
@@ -300,14 +302,19 @@
 		return
 	}
 	lb.cleanedAt = now
-	idleTimeout := defaultIdleTimeout
-	if lb.settings != nil && lb.settings.IdleTimeout > 0 {
-		idleTimeout = lb.settings.IdleTimeout
-	}
-	lb.flows.expire(now, idleTimeout)
+	lb.flows.expire(now, lb.idleTimeout())
 	for t, since := range lb.unknownTokens {
 		if lb.tokens.owner(t) != nil || now.Sub(since) > unknownTokenTTL {
 			delete(lb.unknownTokens, t)
 		}
 	}
 }
+
+// idleTimeout returns the time without packets after which the state of a flow is
+// discarded.
+func (lb *Balancer) idleTimeout() time.Duration {
+	if lb.settings != nil && lb.settings.IdleTimeout > 0 {
+		return lb.settings.IdleTimeout
+	}
+	return defaultIdleTimeout
+}
--- a/pkg/router/flow.go
+++ b/pkg/router/flow.go
@@ -143,6 +143,7 @@
 		f.acked = p.Acked
 		f.retransmissions, f.answerSeen = 0, true
 		lb.recordAnswer(now, srv)
+		srv.ackedAt = now
 		if !f.requestStartedAt.IsZero() {
 			lb.AnswerTime.Record(now.Sub(f.requestStartedAt))
 			srv.load.requestDone(now, f)
--- /dev/null
+++ b/pkg/router/lapse.go
@@ -0,0 +1,63 @@
+package router
+
+import (
+	"time"
+
+	"ebonypaddle/pkg/logs"
+)
+
+// maxLapse is how long open flows of a server without a record go on while it
+// answers: the age up to which flows are kept.
+const maxLapse = time.Minute
+
+// expireRemoved ends new flows to servers without a record that may get none any
+// more, and drops them after RemovalGrace, unless they have lapsed: the server is only
+// slow to report, and resets would cut off requests that it answers.
+func (lb *Balancer) expireRemoved(now time.Time) {
+	if lb.removedServers == 0 {
+		return
+	}
+	for _, srv := range lb.byName {
+		if srv.removedAt.IsZero() {
+			continue
+		}
+		age := now.Sub(srv.removedAt)
+		switch {
+		case age < lb.Limits.RemovalGrace:
+			srv.noNewFlows = srv.noNewFlows || !now.Before(srv.newFlowsUntil)
+		case lb.keepLapsed(now, srv):
+			srv.noNewFlows = true
+			if lb.lapsed[srv.Addr] != srv {
+				lb.lapsed[srv.Addr] = srv
+				lb.Log.Info("server without a record still answers", "server", srv.name, "after", age, "answeredBefore", logs.Age(now, srv.ackedAt))
+			}
+		default:
+			lb.Log.Info("server did not renew its record", "server", srv.name, "after", age)
+			lb.dropServer(srv)
+		}
+	}
+}
+
+// keepLapsed reports whether open flows of a server go on although its record was not
+// renewed within RemovalGrace: it did not report that it is leaving, has answered
+// since, and has left no packet unanswered for recentAnswerAge.
+func (lb *Balancer) keepLapsed(now time.Time, srv *server) bool {
+	if srv.Leaving || now.Sub(srv.removedAt) >= maxLapse || !srv.ackedAt.After(srv.removedAt) || lb.otherAt(srv) {
+		return false
+	}
+	quiet := now.Sub(srv.ackedAt)
+	return quiet < recentAnswerAge || srv.health.failures == 0 && quiet < lb.idleTimeout()
+}
+
+// otherAt reports whether another server has the address of one without a record.
+func (lb *Balancer) otherAt(srv *server) bool {
+	if lb.lapsed[srv.Addr] == srv {
+		return false // addServer drops it when another one gets its address
+	}
+	for _, other := range lb.byName {
+		if other != srv && other.Addr == srv.Addr {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -25,6 +25,8 @@
 	// meanwhile, and none once noNewFlows is set.
 	removedAt, newFlowsUntil time.Time
 	noNewFlows               bool
+	// ackedAt is when a caller last acknowledged new data of the server.
+	ackedAt time.Time
 	// twin is set when another record has the same ID.
 	twin   bool
 	health passiveHealth
@@ -102,6 +104,7 @@
 		lb.Log.Info("server is back in the store", "server", c.Name, "after", now.Sub(srv.removedAt), "rev", c.Rev)
 		srv.removedAt, srv.noNewFlows = time.Time{}, false
 		lb.removedServers--
+		delete(lb.lapsed, srv.Addr)
 	}
 	srv.Server = c.Value
 	srv.Rev = c.Rev
@@ -115,6 +118,10 @@
 	if !lb.synced {
 		srv.addedAt = time.Time{}
 	}
+	if old := lb.lapsed[srv.Addr]; old != nil {
+		lb.Log.Info("address of a silent server in use again", "server", old.name, "by", srv.name, "rev", c.Rev)
+		lb.dropServer(old)
+	}
 	lb.byName[c.Name] = srv
 	for _, other := range lb.tokens.claim(srv) {
 		lb.Log.Warn("server lost a token to one that started earlier", "server", other.name, "to", srv.name, "rev", srv.Rev)
@@ -170,25 +177,10 @@
 	if !srv.removedAt.IsZero() {
 		lb.removedServers--
 	}
+	if lb.lapsed[srv.Addr] == srv {
+		delete(lb.lapsed, srv.Addr)
+	}
 	for _, token := range lb.tokens.release(srv) {
 		lb.removedTokens.add(token)
 	}
 }
-
-// expireRemoved drops servers whose record was not renewed within
-// RemovalGrace, and ends new flows to those that may get none any more.
-func (lb *Balancer) expireRemoved(now time.Time) {
-	if lb.removedServers == 0 {
-		return
-	}
-	for _, srv := range lb.byName {
-		if srv.removedAt.IsZero() {
-			continue
-		}
-		srv.noNewFlows = srv.noNewFlows || !now.Before(srv.newFlowsUntil)
-		if now.Sub(srv.removedAt) >= lb.Limits.RemovalGrace {
-			lb.Log.Info("server did not renew its record", "server", srv.name, "after", now.Sub(srv.removedAt))
-			lb.dropServer(srv)
-		}
-	}
-}
