store, router: names and small repairs after a reading of the change

Values of ebonyd's objects no longer keep the whole response in memory. The mark of a server whose ID another record repeats is set whatever server owns their common token.

--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -27,10 +27,10 @@
 	noNewFlows               bool
 	// ackedAt is when a caller last acknowledged new data of the server.
 	ackedAt time.Time
-	// twin is set when another record has the same ID.
-	twin   bool
-	health passiveHealth
-	load   load
+	// sharesID is set when another record has the same ID.
+	sharesID bool
+	health   passiveHealth
+	load     load
 }
 
 func (srv *server) target() Target { return Target{srv.ID, srv.Addr, srv.token} }
@@ -104,7 +104,9 @@
 		lb.Log.Info("server is back in the store", "server", c.Name, "after", now.Sub(srv.removedAt), "rev", c.Rev)
 		srv.removedAt, srv.noNewFlows = time.Time{}, false
 		lb.removedServers--
-		delete(lb.lapsed, srv.Addr)
+		if lb.lapsed[srv.Addr] == srv {
+			delete(lb.lapsed, srv.Addr)
+		}
 	}
 	srv.Server = c.Value
 	srv.Rev = c.Rev
--- a/pkg/router/token.go
+++ b/pkg/router/token.go
@@ -61,11 +61,11 @@
 // claim adds a server and sets the token that its new flows get. It returns the
 // servers from which it took a token.
 func (t *tokenTable) claim(srv *server) (displaced []*server) {
+	if other := t.find(tokens(srv.ID)[0], func(o *server) bool { return o.ID == srv.ID }); other != nil {
+		other.sharesID, srv.sharesID = true, true
+	}
 	for _, token := range tokens(srv.ID) {
 		owner := t.owners[token]
-		if owner != nil && owner != srv && owner.ID == srv.ID {
-			owner.twin, srv.twin = true, true
-		}
 		switch {
 		case owner == srv:
 		case owner == nil:
@@ -99,15 +99,24 @@
 	}
 }
 
+// find returns a server with a token for which match returns true, or nil.
+func (t *tokenTable) find(token uint32, match func(*server) bool) *server {
+	if owner := t.owners[token]; owner != nil && match(owner) {
+		return owner
+	}
+	if i := slices.IndexFunc(t.others[token], match); i >= 0 {
+		return t.others[token][i]
+	}
+	return nil
+}
+
 // leaving reports whether any record with the ID of a server says that it is leaving.
 // The server's own record is one of them.
 func (t *tokenTable) leaving(srv *server) bool {
-	if srv.Leaving || !srv.twin {
+	if srv.Leaving || !srv.sharesID {
 		return srv.Leaving
 	}
-	first := tokens(srv.ID)[0]
-	twinLeaves := func(o *server) bool { return o.ID == srv.ID && o.Leaving }
-	return twinLeaves(t.owners[first]) || slices.ContainsFunc(t.others[first], twinLeaves)
+	return t.find(tokens(srv.ID)[0], func(o *server) bool { return o.ID == srv.ID && o.Leaving }) != nil
 }
 
 // release removes a server and returns the tokens that belong to no server any more.
--- a/pkg/store/client.go
+++ b/pkg/store/client.go
@@ -174,8 +174,8 @@
 }
 
 // Read sends a GET request for path, with up to Tries attempts, and decodes the
-// JSON response into out, which may be a BodyDecoder. It returns the era of the store that responded. It is
-// exported for readers of APIs with other paths.
+// JSON response into out, which may be a BodyDecoder. It returns the era of the store
+// that responded. It is exported for readers of APIs with other paths.
 // Errors include *UnavailableError, *GoneError and *NotFoundError.
 func (c *Client) Read(ctx context.Context, path string, timeout time.Duration, out any) (era uint64, err error) {
 	for attempt := 1; ; attempt++ {
--- a/pkg/store/decode.go
+++ b/pkg/store/decode.go
@@ -1,23 +1,23 @@
 package store
 
 import (
+	"bytes"
 	"cmp"
-	"encoding/json"
 	"errors"
 	"log/slog"
 
-	jsonv2 "github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json"
 	"github.com/go-json-experiment/json/jsontext"
 )
 
 // lenient accepts what other writers may have put into an object: text that is
 // not UTF-8, fields given twice, and names of another case.
-var lenient = jsonv2.JoinOptions(jsontext.AllowInvalidUTF8(true), jsontext.AllowDuplicateNames(true), jsonv2.MatchCaseInsensitiveNames(true))
+var lenient = json.JoinOptions(jsontext.AllowInvalidUTF8(true), jsontext.AllowDuplicateNames(true), json.MatchCaseInsensitiveNames(true))
 
 // Decode decodes JSON from the object API into out. encoding/json would read the
 // text twice, and each nested raw value twice more, which takes most of the time
 // in which an instance starts.
-func Decode(b []byte, out any) error { return jsonv2.Unmarshal(b, out, lenient) }
+func Decode(b []byte, out any) error { return json.Unmarshal(b, out, lenient) }
 
 // BodyDecoder decodes the body of a response by itself.
 type BodyDecoder interface{ DecodeBody(b []byte) error }
@@ -76,7 +76,7 @@
 	if err == nil {
 		err = addEra(era, &e.Rev)
 	}
-	e.Value = json.RawMessage(value)
+	e.Value = bytes.Clone(value) // would otherwise keep the whole response
 	return e, err
 }
 
