--- a/pkg/router/token_test.go
+++ b/pkg/router/token_test.go
@@ -8,9 +8,9 @@
 	"gotest.tools/v3/assert"
 )
 
-// rivals returns records of servers that share tokens: the first three have the same
+// collidingRecords returns records of servers that share tokens: the first three have the same
 // first token, and the second token of the first one is the first one of the fourth.
-func rivals(t *testing.T) []Change[Server] {
+func collidingRecords(t *testing.T) []Change[Server] {
 	t.Helper()
 	ids := []ServerID{0xf4935071de, 0x4f93507165, 0x019350712b, ServerID(tokens(0xf4935071de)[1])}
 	var out []Change[Server]
@@ -30,7 +30,7 @@
 // Guards against flows that reach another server because instances that learned of two
 // servers in another order disagree on their tokens.
 func TestTokensDoNotDependOnTheOrder(t *testing.T) {
-	records := rivals(t)
+	records := collidingRecords(t)
 	rnd := rand.New(rand.NewPCG(1, 1))
 	for range 200 {
 		a, b := newBalancer(), newBalancer()
@@ -54,7 +54,7 @@
 // Guards against open flows that reach another server after the earlier of two servers
 // with one token left, at instances that knew it and at those that did not.
 func TestTokensAfterTheEarlierServerLeft(t *testing.T) {
-	records := rivals(t)[:2]
+	records := collidingRecords(t)[:2]
 	old := newBalancer(records...)
 	runTicks(old, startTime, startTime.Add(2*time.Second))
 	var c *caller
@@ -83,7 +83,7 @@
 // Guards against tokens that are left behind, or given up while a server needs them,
 // as servers with common tokens come and go.
 func TestTokensOfServersThatComeAndGo(t *testing.T) {
-	records := rivals(t)
+	records := collidingRecords(t)
 	rnd := rand.New(rand.NewPCG(1, 2))
 	var table tokenTable
 	table.start()
