--- a/pkg/router/balancer.go
+++ b/pkg/router/balancer.go
@@ -87,7 +87,7 @@
 	self             string                     // name of this instance
 	peers            []string                   // live instances of this failure domain, with this one
 	removedServers   int                        // servers without a record
-	lapsed           map[netip.AddrPort]*server // those that outlive RemovalGrace, by address
+	expired          map[netip.AddrPort]*server // those that outlive RemovalGrace, by address
 	synced           bool                       // all server records of the store were applied
 	cleanedAt        time.Time                  // last removal of idle flows and old tokens
 	confirmedAt      time.Time                  // latest time at which everything known here was current
@@ -117,7 +117,7 @@
 	lb.pools = map[string]*pool{}
 	lb.unknownTokens = map[uint32]time.Time{}
 	lb.domains = map[string]*domain{}
-	lb.lapsed = map[netip.AddrPort]*server{}
+	lb.expired = map[netip.AddrPort]*server{}
 	lb.startedAt, lb.lastCallAt = now, now
 	lb.flows.start(lb.Limits.MaxFlows)
 	lb.removedTokens.start()
--- a/pkg/router/lapse.go
+++ b/pkg/router/expired.go
@@ -6,12 +6,12 @@
 	"ebonypaddle/pkg/logs"
 )
 
-// maxLapse is how long open flows of a server without a record go on while it
+// maxExpired is how long open flows of a server without a record go on while it
 // answers: the age up to which flows are kept.
-const maxLapse = time.Minute
+const maxExpired = time.Minute
 
 // expireRemoved ends new flows to servers without a record that may get none any
-// more, and drops them after RemovalGrace, unless they have lapsed: the server is only
+// more, and drops them after RemovalGrace, unless only their record expired: the server is only
 // slow to report, and resets would cut off requests that it answers.
 func (lb *Balancer) expireRemoved(now time.Time) {
 	if lb.removedServers == 0 {
@@ -25,10 +25,10 @@
 		switch {
 		case age < lb.Limits.RemovalGrace:
 			srv.noNewFlows = srv.noNewFlows || !now.Before(srv.newFlowsUntil)
-		case lb.keepLapsed(now, srv):
+		case lb.keepExpired(now, srv):
 			srv.noNewFlows = true
-			if lb.lapsed[srv.Addr] != srv {
-				lb.lapsed[srv.Addr] = srv
+			if lb.expired[srv.Addr] != srv {
+				lb.expired[srv.Addr] = srv
 				lb.Log.Info("server without a record still answers", "server", srv.name, "after", age, "answeredBefore", logs.Age(now, srv.ackedAt))
 			}
 		default:
@@ -38,11 +38,11 @@
 	}
 }
 
-// keepLapsed reports whether open flows of a server go on although its record was not
+// keepExpired reports whether open flows of a server go on although its record was not
 // renewed within RemovalGrace: it did not report that it is leaving, has answered
 // since, and has left no packet unanswered for recentAnswerAge.
-func (lb *Balancer) keepLapsed(now time.Time, srv *server) bool {
-	if srv.Leaving || now.Sub(srv.removedAt) >= maxLapse || !srv.ackedAt.After(srv.removedAt) || lb.otherAt(srv) {
+func (lb *Balancer) keepExpired(now time.Time, srv *server) bool {
+	if srv.Leaving || now.Sub(srv.removedAt) >= maxExpired || !srv.ackedAt.After(srv.removedAt) || lb.otherAt(srv) {
 		return false
 	}
 	quiet := now.Sub(srv.ackedAt)
@@ -51,7 +51,7 @@
 
 // otherAt reports whether another server has the address of one without a record.
 func (lb *Balancer) otherAt(srv *server) bool {
-	if lb.lapsed[srv.Addr] == srv {
+	if lb.expired[srv.Addr] == srv {
 		return false // addServer drops it when another one gets its address
 	}
 	for _, other := range lb.byName {
--- a/pkg/router/lapse_test.go
+++ b/pkg/router/expired_test.go
@@ -9,9 +9,9 @@
 	"ebonypaddle/pkg/wire"
 )
 
-// lapsed returns an instance that no longer has the record of server 1, an open flow
+// expired returns an instance that no longer has the record of server 1, an open flow
 // of that server, which answers every 0.5 s, and the time 1 s after the grace period.
-func lapsed(t *testing.T, record Change[Server]) (*Balancer, *caller, time.Time) {
+func expired(t *testing.T, record Change[Server]) (*Balancer, *caller, time.Time) {
 	t.Helper()
 	lb := newBalancer(record)
 	c := newCaller(lb, 1, serviceAddr)
@@ -36,7 +36,7 @@
 
 // Guards against resets of open flows of a server that is slow to report, but answers.
 func TestOpenFlowOfSilentServer(t *testing.T) {
-	lb, c, now := lapsed(t, serverRecord(1, "a"))
+	lb, c, now := expired(t, serverRecord(1, "a"))
 	assertForwarded(t, c.data(now, 100, 1, 100))
 	assertRefused(t, newCaller(lb, 2, serviceAddr).open(now, 0), wire.ReasonNoServer)
 	back := serverRecord(1, "a")
@@ -44,7 +44,7 @@
 	lb.ApplyServers(now, []Change[Server]{back}, false)
 	assertForwarded(t, newCaller(lb, 3, serviceAddr).open(now, 0))
 	assertForwarded(t, c.data(now, 101, 1, 101))
-	assert.Equal(t, len(lb.lapsed), 0)
+	assert.Equal(t, len(lb.expired), 0)
 	assert.Equal(t, lb.removedServers, 0)
 }
 
@@ -76,18 +76,18 @@
 			return now
 		}},
 		{"too long", func(lb *Balancer, c *caller, now time.Time) time.Time {
-			for now.Sub(startTime) <= maxLapse {
+			for now.Sub(startTime) <= maxExpired {
 				now = answers(lb, c, now)
 			}
 			return now
 		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			lb, c, now := lapsed(t, serverRecord(1, "a"))
+			lb, c, now := expired(t, serverRecord(1, "a"))
 			now = tc.end(lb, c, now)
 			lb.SetConfirmed(now)
 			assertRefused(t, c.data(now, 300, 1, 0), wire.ReasonServerGone)
-			assert.Equal(t, len(lb.lapsed), 0)
+			assert.Equal(t, len(lb.expired), 0)
 			assert.Equal(t, lb.removedServers, 0)
 		})
 	}
--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -104,8 +104,8 @@
 		lb.Log.Info("server is back in the store", "server", c.Name, "after", now.Sub(srv.removedAt), "rev", c.Rev)
 		srv.removedAt, srv.noNewFlows = time.Time{}, false
 		lb.removedServers--
-		if lb.lapsed[srv.Addr] == srv {
-			delete(lb.lapsed, srv.Addr)
+		if lb.expired[srv.Addr] == srv {
+			delete(lb.expired, srv.Addr)
 		}
 	}
 	srv.Server = c.Value
@@ -120,7 +120,7 @@
 	if !lb.synced {
 		srv.addedAt = time.Time{}
 	}
-	if old := lb.lapsed[srv.Addr]; old != nil {
+	if old := lb.expired[srv.Addr]; old != nil {
 		lb.Log.Info("address of a silent server in use again", "server", old.name, "by", srv.name, "rev", c.Rev)
 		lb.dropServer(old)
 	}
@@ -179,8 +179,8 @@
 	if !srv.removedAt.IsZero() {
 		lb.removedServers--
 	}
-	if lb.lapsed[srv.Addr] == srv {
-		delete(lb.lapsed, srv.Addr)
+	if lb.expired[srv.Addr] == srv {
+		delete(lb.expired, srv.Addr)
 	}
 	for _, token := range lb.tokens.release(srv) {
 		lb.removedTokens.add(token)
--- a/pkg/store/split_test.go
+++ b/pkg/store/split_test.go
@@ -16,7 +16,7 @@
 
 // Guards against a member that is missed, or cut at a bracket or quote inside its
 // text.
-func TestMembers(t *testing.T) {
+func TestMemberIsNotMissedOrCut(t *testing.T) {
 	for name, tc := range map[string]struct{ in, want string }{
 		"plain":             {`{"a":1,"b":"x"}`, `"x"`},
 		"white space":       {" {\n\"b\" : [1, 2] ,\t\"a\":1 } \r\n", `[1, 2]`},
