admit, router: admission of new flows by priority from the sums of load, first version

New flows are admitted by class from what all instances of the failure domain have in progress; what has no room goes to failure domains with room or is refused at once. Not measured yet: the exchange of the sums is not there.

--- /dev/null
+++ b/pkg/admit/admit.go
@@ -0,0 +1,235 @@
+// Package admit decides which new flows of a service are admitted while callers ask
+// for more than its servers bear, and which failure domain gets them. It answers the
+// load at which the queues of servers grow: without it, servers reject what they have
+// no room for, whatever its priority, and answers come late. All instances that have
+// the same sums decide alike. The package has no sockets, goroutines, clocks or
+// randomness.
+package admit
+
+import (
+	"time"
+
+	"ebonypaddle/pkg/load"
+)
+
+const (
+	// waitShare is the share of the latency target that a request may wait for a
+	// slot. The rest is for the work, the path and a second try.
+	waitShare = 0.15
+	// resumeShare is the share of the bearable requests in progress below which a
+	// service is not pressed any more, once that held for calmTime.
+	resumeShare = 0.7
+	calmTime    = time.Second
+	// minCorrection and maxCorrection bound the factor by which the capacity is
+	// corrected for queues that are longer or shorter than bearable.
+	minCorrection, maxCorrection = 0.6, 1.25
+	// leastShare is the share of the capacity that lower classes together get
+	// whatever the higher ones ask for, so that they do not starve.
+	leastShare = 0.02
+	// rejectedShare is the share of answers that are rejections from which on
+	// servers have less room than the latency target allows. Each update then
+	// lowers the bearable wait by roomStep, to minRoom at least, and raises it
+	// again by roomGain otherwise.
+	rejectedShare = 0.05
+	roomStep      = 0.93
+	roomGain      = 0.01
+	minRoom       = 0.3
+)
+
+// Domain is the load of a service in one failure domain.
+type Domain struct {
+	load.Total
+	// Received is the rate of flows that other failure domains send here, and
+	// ReceivedInProgress what they have in progress here.
+	Received, ReceivedInProgress float64
+}
+
+// Away is the part of new flows that goes to another failure domain, by class, as a
+// share of all new flows of the class.
+type Away struct {
+	Domain string
+	Share  [load.Classes]float64
+}
+
+// Plan says what happens to new flows of a service, by class: Admit is the share
+// that is placed in the own failure domain, Away what goes to others, and the rest is
+// refused.
+type Plan struct {
+	Admit [load.Classes]float64
+	Away  []Away
+}
+
+// Service plans for one service in one failure domain. The zero value is ready for
+// use.
+type Service struct {
+	pressed   bool
+	calmSince time.Time
+	// shrunk is the part by which rejections lowered the bearable wait.
+	shrunk float64
+}
+
+// Pressed reports whether the plan is in force. Otherwise all flows are admitted.
+func (s *Service) Pressed() bool { return s.pressed }
+
+// domainState is what the decision needs of one failure domain.
+type domainState struct {
+	*Domain
+	capacity float64 // requests a second
+	room     float64 // capacity without what is admitted there, below 0 for an excess
+}
+
+// Update plans from the load of the own failure domain and of those that can be
+// reached. target is the latency target of the service's routes. It reports false
+// while there is room, and the plan is then not in force.
+func (s *Service) Update(now time.Time, target time.Duration, own Domain, others []Domain) (Plan, bool) {
+	work := workTime(own, others)
+	bearable := s.bearable(target, work, &own)
+	s.setPressed(now, bearable, &own)
+	if !s.pressed {
+		return Plan{}, false
+	}
+	states := make([]domainState, 0, len(others)+1)
+	states = append(states, domainState{Domain: &own, capacity: capacity(&own, work, bearable)})
+	for i := range others {
+		d := &others[i]
+		states = append(states, domainState{Domain: d, capacity: capacity(d, work, bearablePerSlot(target, work)*d.Slots)})
+	}
+	return plan(states), true
+}
+
+// workTime returns the mean time for which a request occupies a slot, in seconds, or
+// 0 if there are no answers.
+func workTime(own Domain, others []Domain) float64 {
+	busy, done := own.Busy, own.Demand.Done-own.Demand.Rejected
+	if done <= 0 || busy <= 0 {
+		for i := range others {
+			busy += others[i].Busy
+			done += others[i].Demand.Done - others[i].Demand.Rejected
+		}
+	}
+	if done <= 0 || busy <= 0 {
+		return 0
+	}
+	return busy / done
+}
+
+// bearablePerSlot returns the number of requests in progress per slot at which a new
+// one waits for waitShare of the latency target.
+func bearablePerSlot(target time.Duration, work float64) float64 {
+	if work <= 0 {
+		return 1
+	}
+	return 1 + waitShare*target.Seconds()/work
+}
+
+// bearable returns the number of requests in progress in the own failure domain at
+// which callers wait as long as they may.
+func (s *Service) bearable(target time.Duration, work float64, own *Domain) float64 {
+	answers := own.Demand.Done
+	switch {
+	case answers > 0 && own.Demand.Rejected > rejectedShare*answers:
+		s.shrunk = min(s.shrunk+(1-s.shrunk)*(1-roomStep), 1-minRoom)
+	default:
+		s.shrunk = max(s.shrunk-roomGain, 0)
+	}
+	return (1 + (bearablePerSlot(target, work)-1)*(1-s.shrunk)) * own.Slots
+}
+
+// setPressed puts the plan in force when more requests are in progress than
+// bearable, or callers have no server of the own failure domain.
+func (s *Service) setPressed(now time.Time, bearable float64, own *Domain) {
+	inProgress := own.InProgress + own.ReceivedInProgress
+	switch {
+	case own.Slots > 0 && inProgress >= bearable && bearable > 0:
+		s.pressed, s.calmSince = true, now
+	case own.Slots == 0 || inProgress >= resumeShare*bearable:
+		s.calmSince = now
+	case now.Sub(s.calmSince) >= calmTime:
+		s.pressed = false
+	}
+}
+
+// capacity returns the rate of requests that a failure domain answers, corrected so
+// that the requests in progress come to the bearable number.
+func capacity(d *Domain, work, bearable float64) float64 {
+	if work <= 0 || d.Slots <= 0 {
+		return 0
+	}
+	if done := d.Demand.Done - d.Demand.Rejected; done > 0 && d.Busy > d.Slots/2 {
+		work = d.Busy / done
+	}
+	inProgress := d.InProgress + d.ReceivedInProgress
+	correction := 1 + (bearable-inProgress)/max(bearable, 1)
+	return d.Slots / work * min(max(correction, minCorrection), maxCorrection)
+}
+
+// shares returns the shares of new flows by class that fit into a capacity, the higher
+// classes first, and how much of it is taken. Requests on open flows cannot be
+// refused; those of lower classes do not take room from higher ones.
+func shares(capacity float64, most [load.Classes]float64, d *load.Demand) (out [load.Classes]float64, admitted, begun float64) {
+	left := capacity
+	for c := range load.Classes {
+		left -= d.Begun[c]
+		begun += d.Begun[c]
+		room := left
+		if c > 0 {
+			room = max(left, leastShare*capacity)
+		}
+		out[c] = most[c]
+		if d.Offered[c] > 0 {
+			out[c] = min(max(room/d.Offered[c], 0), most[c])
+		}
+		left -= out[c] * d.Offered[c]
+		admitted += out[c] * d.Offered[c]
+	}
+	return out, admitted, begun
+}
+
+// plan shares the capacity of all failure domains out by class, so that callers of one
+// class are admitted alike wherever they are. The first domain is the own one; what it
+// has no room for goes to those that have, in proportion to their room.
+func plan(states []domainState) Plan {
+	var demand load.Demand
+	total := 0.0
+	for i := range states {
+		total += states[i].capacity
+		demand.Add(&states[i].Demand)
+	}
+	all := [load.Classes]float64{1, 1, 1, 1}
+	share, _, _ := shares(total, all, &demand)
+	rooms, excesses := 0.0, 0.0
+	for i := range states {
+		st := &states[i]
+		st.room = st.capacity
+		for c := range load.Classes {
+			st.room -= st.Demand.Begun[c] + share[c]*st.Demand.Offered[c]
+		}
+		rooms += max(st.room, 0)
+		excesses += max(-st.room, 0)
+	}
+	own := &states[0]
+	elsewhere := 0.0 // the room of other domains for this one
+	if own.room < 0 {
+		elsewhere = min(-own.room, rooms*-own.room/excesses)
+	}
+	share, admitted, begun := shares(own.capacity+elsewhere, share, &own.Demand)
+	away := min(max(admitted+begun-own.capacity, 0), elsewhere, admitted)
+	p := Plan{Admit: share}
+	if away <= 0 {
+		return p
+	}
+	for c := range load.Classes {
+		p.Admit[c] = share[c] * (1 - away/admitted)
+	}
+	for _, st := range states[1:] {
+		if st.room <= 0 {
+			continue
+		}
+		a := Away{Domain: st.Domain.Domain}
+		for c := range load.Classes {
+			a.Share[c] = share[c] * away / admitted * st.room / rooms
+		}
+		p.Away = append(p.Away, a)
+	}
+	return p
+}
--- /dev/null
+++ b/pkg/router/admission.go
@@ -0,0 +1,111 @@
+package router
+
+import (
+	"time"
+
+	"ebonypaddle/pkg/admit"
+	"ebonypaddle/pkg/load"
+	"ebonypaddle/pkg/wire"
+)
+
+// admission decides which new flows are admitted while servers lack room.
+type admission struct {
+	// services are those for which the settings call for it.
+	services map[string]*serviceAdmission
+	sums     *load.Sums // nil without fresh ones
+	sumsAt   time.Time
+	remote   []*server // reused by placeIn
+}
+
+// serviceAdmission is the admission of one service.
+type serviceAdmission struct {
+	target   time.Duration // lowest latency target of its routes
+	maxFlows int           // open flows that a server holds, 0 for no limit
+	planner  admit.Service
+	plan     admit.Plan
+	inForce  bool
+}
+
+func (a *admission) start() { a.services = map[string]*serviceAdmission{} }
+
+// configure keeps the services for which settings call for admission: those with
+// routes of several priorities, or with a limit of open flows.
+func (a *admission) configure(s *Settings) {
+	before := a.services
+	a.services = map[string]*serviceAdmission{}
+	classes := map[string]int{}
+	targets := map[string]time.Duration{}
+	for i := range s.Routes {
+		rt := &s.Routes[i]
+		for _, ws := range rt.WeightedServices {
+			classes[ws.Service] |= 1 << load.Class(rt.Priority)
+			if t := targets[ws.Service]; rt.LatencyTarget > 0 && (t == 0 || rt.LatencyTarget < t) {
+				targets[ws.Service] = rt.LatencyTarget
+			}
+		}
+	}
+	for _, v := range s.Services {
+		several := classes[v.Name]&(classes[v.Name]-1) != 0
+		if (!several && v.MaxFlows <= 0) || targets[v.Name] == 0 {
+			continue
+		}
+		sa := before[v.Name]
+		if sa == nil {
+			sa = &serviceAdmission{}
+		}
+		sa.target, sa.maxFlows = targets[v.Name], v.MaxFlows
+		a.services[v.Name] = sa
+	}
+}
+
+// inForce reports whether new flows of a service are admitted by a plan.
+func (a *admission) inForce(service string) bool {
+	sa := a.services[service]
+	return sa != nil && sa.inForce
+}
+
+// placeAdmitted places a new flow if it is admitted. While no plan is in force, it
+// decides as place does.
+func (lb *Balancer) placeAdmitted(now time.Time, p *Packet, rt *Route, service string, failed *server) (*server, wire.Reason) {
+	class := load.Class(rt.Priority)
+	if p.Retransmissions == 0 {
+		lb.demand.service(service).offered[class].Add(now, 1)
+	}
+	sa := lb.admission.services[service]
+	if sa == nil || !sa.inForce || p.Retransmissions > 0 {
+		return lb.place(now, service, rt.LatencyTarget, failed)
+	}
+	draw := lb.rnd.Float64()
+	if draw < sa.plan.Admit[class] {
+		return lb.place(now, service, rt.LatencyTarget, failed)
+	}
+	draw -= sa.plan.Admit[class]
+	for i := range sa.plan.Away {
+		away := &sa.plan.Away[i]
+		if draw < away.Share[class] {
+			return lb.placeIn(now, service, away.Domain, failed)
+		}
+		draw -= away.Share[class]
+	}
+	return nil, wire.ReasonOverloaded
+}
+
+// placeIn places a new flow at a server of another failure domain.
+func (lb *Balancer) placeIn(now time.Time, service, domain string, failed *server) (*server, wire.Reason) {
+	p := lb.pools[service]
+	if p == nil {
+		return nil, wire.ReasonNoServer
+	}
+	lb.admission.remote = lb.admission.remote[:0]
+	for _, srv := range p.remote {
+		if srv.Domain == domain {
+			lb.admission.remote = append(lb.admission.remote, srv)
+		}
+	}
+	best, _ := lb.choose(lb, now, p, lb.admission.remote, failed)
+	if best == nil {
+		return nil, wire.ReasonOverloaded
+	}
+	lb.recordColdFlow(now, best)
+	return best, wire.ReasonNone
+}
--- a/pkg/router/balancer.go
+++ b/pkg/router/balancer.go
@@ -78,6 +78,8 @@
 	byName           map[string]*server
 	tokens           tokenTable
 	pools            map[string]*pool
+	demand           demand
+	admission        admission
 	flows            flowTable
 	removedTokens    tokenSet             // tokens of servers that are no longer used
 	unknownTokens    map[uint32]time.Time // by token, with the time of its first packet
@@ -115,6 +117,8 @@
 	lb.byName = map[string]*server{}
 	lb.tokens.start()
 	lb.pools = map[string]*pool{}
+	lb.demand.start()
+	lb.admission.start()
 	lb.unknownTokens = map[uint32]time.Time{}
 	lb.domains = map[string]*domain{}
 	lb.expired = map[netip.AddrPort]*server{}
@@ -200,13 +204,15 @@
 		failed = f.server
 		lb.recordRetransmittedOpening(now, f, p)
 	}
-	srv, reason := lb.place(now, lb.chooseService(rt), rt.LatencyTarget, failed)
+	service := lb.chooseService(rt)
+	srv, reason := lb.placeAdmitted(now, p, rt, service, failed)
 	if srv == nil {
 		return refuse(reason)
 	}
 	lb.Opened++
 	if srv.Domain != lb.Domain {
 		lb.CrossDomain++
+		lb.demand.sent(now, srv)
 	}
 	lb.Log.Info("flow placed", "flow", p, "server", srv.name, "domain", srv.Domain, "copy", p.Retransmissions, "inFlight", srv.load.InFlight, "latency", srv.load.Latency, "version", lb.settings.Version, "rev", srv.Rev)
 	lb.flows.put(now, p, srv)
@@ -298,6 +304,8 @@
 	lb.beginCall(now)
 	lb.expireRemoved(now)
 	lb.expireRestored(now)
+	lb.demand.expire(now)
+	lb.expireSums(now)
 	if now.Sub(lb.cleanedAt) < time.Second {
 		return
 	}
--- /dev/null
+++ b/pkg/router/demand.go
@@ -0,0 +1,135 @@
+package router
+
+import (
+	"time"
+
+	"ebonypaddle/pkg/load"
+)
+
+const (
+	// maxInProgress is how long a request without an answer counts as in progress.
+	// Its packets may go through another instance by then, or its caller gave up.
+	maxInProgress = 2 * time.Second
+	// rejectionRatio is the length of an answer, as a share of what is usual for its
+	// route, below which it looks like a rejection, if the caller then ends the flow.
+	rejectionRatio = 0.5
+	// answerSizeGain and answerSizeDecay are the weights of long and of short answers
+	// in the usual length.
+	answerSizeGain, answerSizeDecay = 1.0 / 16, 1.0 / 512
+)
+
+// demand counts what the callers of this instance ask of each service.
+type demand struct {
+	services map[string]*serviceDemand
+	begunAt  []activeRequest // oldest first; those before next are done
+	next     int
+}
+
+// serviceDemand is the demand on one service.
+type serviceDemand struct {
+	offered, begun [load.Classes]load.Rate
+	done, rejected load.Rate
+	// opened is the rate of flows to servers of other failure domains.
+	opened map[string]*load.Rate
+}
+
+// activeRequest is a request that began at a time.
+type activeRequest struct {
+	flow *flow
+	at   time.Time
+}
+
+func (d *demand) start() { d.services = map[string]*serviceDemand{} }
+
+// service returns the demand on a service, and adds it if it is new.
+func (d *demand) service(name string) *serviceDemand {
+	s := d.services[name]
+	if s == nil {
+		s = &serviceDemand{opened: map[string]*load.Rate{}}
+		d.services[name] = s
+	}
+	return s
+}
+
+// begun counts a request that begins on an open flow. The first one of a flow was
+// counted with its opening.
+func (d *demand) begun(now time.Time, p *Packet, f *flow, rt *Route) {
+	if rt == nil {
+		return
+	}
+	s := d.service(f.server.Service)
+	f.class = uint8(load.Class(rt.Priority))
+	if f.adopted || f.requests > 0 {
+		s.begun[f.class].Add(now, 1)
+	}
+	f.requests++
+	rt.answerEnded(f)
+	f.answerFrom, f.answered = f.acked, false
+	f.active = true
+	f.server.load.active++
+	d.begunAt = append(d.begunAt, activeRequest{f, now})
+}
+
+// sent counts a flow that is opened at a server of another failure domain.
+func (d *demand) sent(now time.Time, srv *server) {
+	s := d.service(srv.Service)
+	r := s.opened[srv.Domain]
+	if r == nil {
+		r = &load.Rate{}
+		s.opened[srv.Domain] = r
+	}
+	r.Add(now, 1)
+}
+
+// answered counts an answer that has begun.
+func (d *demand) answered(now time.Time, srv *server, f *flow) {
+	f.answered = true
+	d.service(srv.Service).done.Add(now, 1)
+}
+
+// ended counts a rejection if the last answer of a flow that its caller ends looks
+// like one.
+func (d *demand) ended(now time.Time, f *flow, rt *Route) {
+	if rt == nil || !f.answered || !f.requestStartedAt.IsZero() {
+		return
+	}
+	if rt.answerEnded(f) {
+		d.service(f.server.Service).rejected.Add(now, 1)
+	}
+	f.answered = false
+}
+
+// answerEnded updates the usual length of the route's answers by the last one of a
+// flow, and reports whether that one is far shorter.
+func (rt *Route) answerEnded(f *flow) (short bool) {
+	if !f.answered {
+		return false
+	}
+	size := float64(f.acked - f.answerFrom)
+	switch {
+	case rt.answerSize == 0:
+		rt.answerSize = size
+	case size < rejectionRatio*rt.answerSize:
+		rt.answerSize += (size - rt.answerSize) * answerSizeDecay
+		return true
+	default:
+		rt.answerSize += (size - rt.answerSize) * answerSizeGain
+	}
+	return false
+}
+
+// expire takes requests out of those in progress that began too long ago.
+func (d *demand) expire(now time.Time) {
+	for d.next < len(d.begunAt) && now.Sub(d.begunAt[d.next].at) >= maxInProgress {
+		r := &d.begunAt[d.next]
+		if r.flow.requestStartedAt.Equal(r.at) {
+			r.flow.server.load.inactive(r.flow)
+		}
+		r.flow = nil
+		d.next++
+	}
+	if 2*d.next > len(d.begunAt) {
+		d.begunAt = append(d.begunAt[:0], d.begunAt[d.next:]...)
+		d.next = 0
+	}
+}
--- a/pkg/router/flow.go
+++ b/pkg/router/flow.go
@@ -53,6 +53,15 @@
 	// openingTimedOut is set when the missing answer to the opening was
 	// already counted as a failure.
 	openingTimedOut bool
+	// active is set while the request in progress counts as one, see
+	// load.active.
+	active bool
+	// class is the priority class of the route, answerFrom the first sequence number
+	// of the answer to the latest request, answered whether that answer has begun.
+	class      uint8
+	requests   int // that began here
+	answerFrom uint32
+	answered   bool
 }
 
 // defaultIdleTimeout is the time without packets after which the state of a
@@ -133,6 +142,7 @@
 	f.lastPacketAt = now
 	if !f.open {
 		f.open, f.answerSeen = true, true
+		srv.load.flows++
 		f.acked = p.Acked
 		lb.OpenTime.Record(now.Sub(f.openedAt))
 		srv.load.handshakeDone(now.Sub(f.openedAt))
@@ -147,6 +157,7 @@
 		if !f.requestStartedAt.IsZero() {
 			lb.AnswerTime.Record(now.Sub(f.requestStartedAt))
 			srv.load.requestDone(now, f)
+			lb.demand.answered(now, srv, f)
 		}
 	}
 	if p.Size > 0 {
@@ -158,6 +169,7 @@
 		closeFlow = rt != nil && rt.Repeatable && !now.Before(lb.closeFlowsFrom) && (observed && srv.health.unresponsive(now) || srv.health.unresponsiveForFlow(now, f.retransmissions))
 	}
 	if p.End || p.Reset {
+		lb.demand.ended(now, f, rt)
 		lb.flows.remove(p)
 	}
 	return closeFlow
@@ -171,6 +183,7 @@
 	case seqAfter(end, f.seq):
 		f.seq = end
 		if f.requestStartedAt.IsZero() {
+			lb.demand.begun(now, p, f, lb.routes[p.Service])
 			f.requestStartedAt = now
 			f.server.load.Begin(now)
 			lb.recordWork(now, f.server)
@@ -189,6 +202,7 @@
 	f := t.get(p)
 	srv.load.openingDone()
 	f.open, f.adopted, f.acked = true, true, p.Acked
+	srv.load.flows++
 	return f
 }
 
--- a/pkg/router/load.go
+++ b/pkg/router/load.go
@@ -6,10 +6,10 @@
 	"ebonypaddle/pkg/pick"
 )
 
-// load is this instance's estimate of the load of a server. The instance sees
+// serverLoad is this instance's estimate of the load of a server. The instance sees
 // only the packets of callers, and only those that reach it rather than
 // another instance.
-type load struct {
+type serverLoad struct {
 	pick.LoadEstimator
 	// pendingOpenings is the number of openings that were forwarded and not
 	// yet answered.
@@ -24,6 +24,10 @@
 	// it, at most maxWorkSamples.
 	work    time.Duration
 	samples int
+	// active is the number of requests in progress that began within
+	// maxInProgress, flows that of open flows.
+	active, flows int
+	shared        sharedLoad
 }
 
 const (
@@ -40,23 +44,26 @@
 )
 
 // handshakeDone updates the path latency. Handshakes can only be delayed.
-func (l *load) handshakeDone(d time.Duration) { l.pathLatency = pick.FollowShort(l.pathLatency, d) }
+func (l *serverLoad) handshakeDone(d time.Duration) {
+	l.pathLatency = pick.FollowShort(l.pathLatency, d)
+}
 
 // estimateWork returns the expected work of a request, given the mean of the
 // pool.
-func (l *load) estimateWork(poolMean time.Duration) time.Duration {
+func (l *serverLoad) estimateWork(poolMean time.Duration) time.Duration {
 	return (l.work*time.Duration(l.samples) + poolMean*priorWorkSamples) / time.Duration(l.samples+priorWorkSamples)
 }
 
-func (l *load) openingSent() { l.pendingOpenings++ }
+func (l *serverLoad) openingSent() { l.pendingOpenings++ }
 
 // openingDone ends a pending opening, which was answered or is no longer
 // expected to be.
-func (l *load) openingDone() { l.pendingOpenings = max(l.pendingOpenings-1, 0) }
+func (l *serverLoad) openingDone() { l.pendingOpenings = max(l.pendingOpenings-1, 0) }
 
 // requestDone records that the request in progress was answered.
-func (l *load) requestDone(now time.Time, f *flow) {
+func (l *serverLoad) requestDone(now time.Time, f *flow) {
 	l.End()
+	l.inactive(f)
 	latency := now.Sub(f.requestStartedAt)
 	l.Observe(now, latency)
 	l.samples = min(l.samples+1, maxWorkSamples)
@@ -67,13 +74,23 @@
 
 // flowDone ends the pending opening or the request in progress of a flow that
 // ended.
-func (l *load) flowDone(f *flow) {
+func (l *serverLoad) flowDone(f *flow) {
 	if !f.open {
 		l.openingDone()
 		return
 	}
+	l.flows--
 	if !f.requestStartedAt.IsZero() {
 		l.End()
+		l.inactive(f)
 		f.requestStartedAt = time.Time{}
 	}
 }
+
+// inactive takes the request in progress of a flow out of the active ones.
+func (l *serverLoad) inactive(f *flow) {
+	if f.active {
+		f.active = false
+		l.active--
+	}
+}
--- a/pkg/router/place.go
+++ b/pkg/router/place.go
@@ -174,6 +174,9 @@
 // before a request sent now.
 func (lb *Balancer) waiting(now time.Time, srv *server) float64 {
 	load := &srv.load
+	if lb.admission.inForce(srv.Service) {
+		return float64(load.shared.others+load.active+load.pendingOpenings) / srv.slots()
+	}
 	return (float64(load.InFlight+load.pendingOpenings) + load.Backlog(now)) / srv.slots()
 }
 
--- a/pkg/router/records.go
+++ b/pkg/router/records.go
@@ -49,6 +49,10 @@
 	Repeatable bool
 	// LatencyTarget is the time within which an answer should arrive.
 	LatencyTarget time.Duration
+	// Priority orders routes while servers lack room, 0 comes first.
+	Priority int
+
+	answerSize float64 // usual length of an answer in bytes
 }
 
 // Service holds the settings that apply to all servers of a service.
@@ -59,6 +63,8 @@
 	// that there is no limit.
 	ColdDuration time.Duration
 	ColdRate     float64
+	// MaxFlows is the number of open flows that each server holds, 0 for no limit.
+	MaxFlows int
 }
 
 // Settings are the routes and services that operators configured.
--- a/pkg/router/route.go
+++ b/pkg/router/route.go
@@ -16,13 +16,18 @@
 	}
 	routes := make(map[netip.AddrPort]*Route, len(newSettings.Routes))
 	for i := range newSettings.Routes {
-		routes[newSettings.Routes[i].Addr] = &newSettings.Routes[i]
+		rt := &newSettings.Routes[i]
+		if old := lb.routes[rt.Addr]; old != nil {
+			rt.answerSize = old.answerSize
+		}
+		routes[rt.Addr] = rt
 	}
 	lb.services = make(map[string]Service, len(newSettings.Services))
 	for _, v := range newSettings.Services {
 		lb.services[v.Name] = v
 	}
 	lb.settings, lb.routes = newSettings, routes
+	lb.admission.configure(newSettings)
 	lb.Log.Info("settings in force", "version", newSettings.Version, "rev", newSettings.Rev, "routes", len(routes))
 }
 
--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -30,7 +30,7 @@
 	// sharesID is set when another record has the same ID.
 	sharesID bool
 	health   passiveHealth
-	load     load
+	load     serverLoad
 }
 
 func (srv *server) target() Target { return Target{srv.ID, srv.Addr, srv.token} }
