--- a/pkg/admit/admit.go
+++ b/pkg/admit/admit.go
@@ -76,6 +76,7 @@
 	*Domain
 	capacity float64 // requests a second
 	room     float64 // capacity without what is admitted there, below 0 for an excess
+	pressed  bool    // otherwise it admits all of its own callers
 }
 
 // Update plans from the load of the own failure domain and of those that can be
@@ -89,10 +90,11 @@
 		return Plan{}, false
 	}
 	states := make([]domainState, 0, len(others)+1)
-	states = append(states, domainState{Domain: &own, capacity: capacity(&own, work, bearable)})
+	states = append(states, domainState{Domain: &own, capacity: capacity(&own, work, bearable), pressed: true})
 	for i := range others {
 		d := &others[i]
-		states = append(states, domainState{Domain: d, capacity: capacity(d, work, bearablePerSlot(target, work)*d.Slots)})
+		bearable := bearablePerSlot(target, work) * d.Slots
+		states = append(states, domainState{Domain: d, capacity: capacity(d, work, bearable), pressed: d.InProgress >= bearable})
 	}
 	return plan(states), true
 }
@@ -202,7 +204,11 @@
 		st := &states[i]
 		st.room = st.capacity
 		for c := range load.Classes {
-			st.room -= st.Demand.Begun[c] + share[c]*st.Demand.Offered[c]
+			admitted := st.Demand.Offered[c]
+			if st.pressed {
+				admitted *= share[c]
+			}
+			st.room -= st.Demand.Begun[c] + admitted
 		}
 		rooms += max(st.room, 0)
 		excesses += max(-st.room, 0)
--- a/pkg/router/admission.go
+++ b/pkg/router/admission.go
@@ -77,6 +77,9 @@
 	}
 	draw := lb.rnd.Float64()
 	if draw < sa.plan.Admit[class] {
+		if srv, reason := lb.placeIn(now, service, lb.Domain, failed); srv != nil {
+			return srv, reason
+		}
 		return lb.place(now, service, rt.LatencyTarget, failed)
 	}
 	draw -= sa.plan.Admit[class]
@@ -90,19 +93,23 @@
 	return nil, wire.ReasonOverloaded
 }
 
-// placeIn places a new flow at a server of another failure domain.
+// placeIn places a new flow at a healthy server of a failure domain.
 func (lb *Balancer) placeIn(now time.Time, service, domain string, failed *server) (*server, wire.Reason) {
 	p := lb.pools[service]
 	if p == nil {
 		return nil, wire.ReasonNoServer
 	}
-	lb.admission.remote = lb.admission.remote[:0]
-	for _, srv := range p.remote {
-		if srv.Domain == domain {
-			lb.admission.remote = append(lb.admission.remote, srv)
+	candidates := p.local
+	if domain != lb.Domain {
+		lb.admission.remote = lb.admission.remote[:0]
+		for _, srv := range p.remote {
+			if srv.Domain == domain {
+				lb.admission.remote = append(lb.admission.remote, srv)
+			}
 		}
+		candidates = lb.admission.remote
 	}
-	best, _ := lb.choose(lb, now, p, lb.admission.remote, failed)
+	best, _ := lb.choose(lb, now, p, candidates, failed)
 	if best == nil {
 		return nil, wire.ReasonOverloaded
 	}
--- a/pkg/router/place.go
+++ b/pkg/router/place.go
@@ -18,6 +18,8 @@
 	// latency and work are means over the servers, as they were at meansAt.
 	latency, work time.Duration
 	meansAt       time.Time
+	// pressed is set while a plan of admission is in force.
+	pressed bool
 }
 
 func compareNames(a, b *server) int { return cmp.Compare(a.name, b.name) }
@@ -120,7 +122,7 @@
 
 // healthy reports whether a server may get a new flow while others can, too.
 func (lb *Balancer) healthy(now time.Time, srv *server) bool {
-	return lb.usable(srv) && !srv.health.suspected(now) && !lb.domain(srv.Domain).unreachable && now.Sub(srv.addedAt) >= lb.Limits.NewServerDelay && !lb.coldLimited(now, srv)
+	return lb.usable(srv) && !srv.health.suspected(now) && !lb.domain(srv.Domain).unreachable && now.Sub(srv.addedAt) >= lb.Limits.NewServerDelay && !srv.load.shared.full && !lb.coldLimited(now, srv)
 }
 
 // choosePolicy chooses one of the healthy candidates, and returns it with the
@@ -152,7 +154,7 @@
 func (lb *Balancer) estimateLatency(now time.Time, p *pool, srv *server) time.Duration {
 	load := &srv.load
 	busy := recentWorkWeight * time.Duration(load.RecentWork(now)).Seconds()
-	return time.Duration(float64(lb.baseLatency(now, p, srv)) * (1 + lb.waiting(now, srv) + busy) * (1 + estimateJitter*lb.rnd.Float64()))
+	return time.Duration(float64(lb.baseLatency(now, p, srv)) * (1 + lb.waiting(now, p, srv) + busy) * (1 + estimateJitter*lb.rnd.Float64()))
 }
 
 // baseLatency returns the expected latency of a request at an idle server.
@@ -171,10 +173,11 @@
 }
 
 // waiting returns the expected number of requests per slot that are served
-// before a request sent now.
-func (lb *Balancer) waiting(now time.Time, srv *server) float64 {
+// before a request sent now. While the service is pressed, it counts the requests of
+// all instances of the failure domain.
+func (lb *Balancer) waiting(now time.Time, p *pool, srv *server) float64 {
 	load := &srv.load
-	if lb.admission.inForce(srv.Service) {
+	if p.pressed {
 		return float64(load.shared.others+load.active+load.pendingOpenings) / srv.slots()
 	}
 	return (float64(load.InFlight+load.pendingOpenings) + load.Backlog(now)) / srv.slots()
--- a/pkg/router/sums.go
+++ b/pkg/router/sums.go
@@ -17,9 +17,10 @@
 // server.
 type sharedLoad struct {
 	others   int // requests in progress of other instances
-	flows    int // open flows of other instances
 	reported int // own requests in progress at the last report
-	flowsAt  int // own open flows at the last report
+	// full is set while the server holds as many flows of all instances as its
+	// service allows.
+	full bool
 }
 
 // LoadReport returns what this instance has in progress, for the sums of its failure
@@ -52,7 +53,7 @@
 	}
 	for _, srv := range p.local {
 		l := &srv.load
-		l.shared.reported, l.shared.flowsAt = l.active, l.flows
+		l.shared.reported = l.active
 		if l.active > 0 || l.flows > 0 {
 			s.Servers = append(s.Servers, load.Server{ID: uint64(srv.ID), InProgress: uint32(max(l.active, 0)), Flows: uint32(max(l.flows, 0))})
 		}
@@ -82,8 +83,8 @@
 
 // applyServerSums sets the load of other instances at the servers of a service.
 func (lb *Balancer) applyServerSums(s *load.Service) {
-	p := lb.pools[s.Name]
-	if p == nil {
+	p, a := lb.pools[s.Name], lb.admission.services[s.Name]
+	if p == nil || a == nil {
 		return
 	}
 	byID := make(map[uint64]*load.Server, len(s.Servers))
@@ -92,10 +93,10 @@
 	}
 	for _, srv := range p.local {
 		sh := &srv.load.shared
-		sh.others, sh.flows = 0, 0
+		sh.others, sh.full = 0, false
 		if sum := byID[uint64(srv.ID)]; sum != nil {
 			sh.others = max(int(sum.InProgress)-sh.reported, 0)
-			sh.flows = max(int(sum.Flows)-sh.flowsAt, 0)
+			sh.full = a.maxFlows > 0 && int(sum.Flows) >= a.maxFlows
 		}
 	}
 }
@@ -147,9 +148,12 @@
 	lb.admission.sums = nil
 	for name, a := range lb.admission.services {
 		if a.inForce {
-			lb.Log.Warn("sums of load are too old, all new flows are admitted", "service", name)
+			lb.Log.Warn("sums of load are too old, all new flows are admitted", "service", name, "age", now.Sub(lb.admission.sumsAt))
 		}
-		a.inForce = false
+		lb.setPlan(name, a, admit.Plan{}, false)
+	}
+	for _, srv := range lb.byName {
+		srv.load.shared = sharedLoad{}
 	}
 }
 
@@ -181,7 +185,15 @@
 		if pressed != a.inForce {
 			lb.Log.Warn("admission changed", "service", s.Name, "pressed", pressed, "inProgress", own.InProgress, "slots", own.Slots, "busy", own.Busy, "answered", own.Demand.Done, "rejected", own.Demand.Rejected, "instances", lb.admission.sums.Reports)
 		}
-		a.plan, a.inForce = plan, pressed
+		lb.setPlan(s.Name, a, plan, pressed)
+	}
+}
+
+// setPlan puts the plan of a service in force, or out of force.
+func (lb *Balancer) setPlan(name string, a *serviceAdmission, plan admit.Plan, pressed bool) {
+	a.plan, a.inForce = plan, pressed
+	if p := lb.pools[name]; p != nil {
+		p.pressed = pressed
 	}
 }
 
