--- a/pkg/router/demand.go
+++ b/pkg/router/demand.go
@@ -11,8 +11,8 @@
 	// Its packets may go through another instance by then, or its caller gave up.
 	maxInProgress = 2 * time.Second
 	// rejectionRatio is the length of an answer, as a share of what is usual for its
-	// route, below which it looks like a rejection, if the caller then ends the flow.
-	rejectionRatio = 0.5
+	// route, below which it looks like a rejection.
+	rejectionRatio = 0.25
 	// answerSizeGain and answerSizeDecay are the weights of long and of short answers
 	// in the usual length.
 	answerSizeGain, answerSizeDecay = 1.0 / 16, 1.0 / 512
@@ -63,7 +63,7 @@
 		s.begun[f.class].Add(now, 1)
 	}
 	f.requests++
-	rt.answerEnded(f)
+	d.answerEnded(now, f, rt)
 	f.answerFrom, f.answered = f.acked, false
 	f.active = true
 	f.server.load.active++
@@ -87,25 +87,25 @@
 	d.service(srv.Service).done.Add(now, 1)
 }
 
-// ended counts a rejection if the last answer of a flow that its caller ends looks
-// like one.
+// ended handles the end of a flow by its caller.
 func (d *demand) ended(now time.Time, f *flow, rt *Route) {
-	if rt == nil || !f.answered || !f.requestStartedAt.IsZero() {
-		return
+	if rt != nil && f.requestStartedAt.IsZero() {
+		d.answerEnded(now, f, rt)
 	}
-	if rt.answerEnded(f) {
+}
+
+// answerEnded handles the end of the latest answer of a flow, and counts it as a
+// rejection if it looks like one.
+func (d *demand) answerEnded(now time.Time, f *flow, rt *Route) {
+	if f.answered && rt.shortAnswer(float64(f.acked-f.answerFrom)) {
 		d.service(f.server.Service).rejected.Add(now, 1)
 	}
 	f.answered = false
 }
 
-// answerEnded updates the usual length of the route's answers by the last one of a
-// flow, and reports whether that one is far shorter.
-func (rt *Route) answerEnded(f *flow) (short bool) {
-	if !f.answered {
-		return false
-	}
-	size := float64(f.acked - f.answerFrom)
+// shortAnswer updates the usual length of the route's answers by one of size bytes,
+// and reports whether it looks like a rejection.
+func (rt *Route) shortAnswer(size float64) bool {
 	switch {
 	case rt.answerSize == 0:
 		rt.answerSize = size
--- a/pkg/router/sums.go
+++ b/pkg/router/sums.go
@@ -101,16 +101,20 @@
 	}
 }
 
+// nearPressed is the share of busy slots from which on sums are exchanged more often.
+const nearPressed = 0.8
+
 // LoadTotals returns the load of each service in this failure domain, for other
-// failure domains, and whether one of them is pressed.
+// failure domains, and whether one of them is pressed or soon may be.
 func (lb *Balancer) LoadTotals(now time.Time) (totals []load.Total, pressed bool) {
 	if !lb.sumsFresh(now) {
 		return nil, false
 	}
 	for i := range lb.admission.sums.Services {
 		s := &lb.admission.sums.Services[i]
-		totals = append(totals, lb.total(s))
-		if a := lb.admission.services[s.Name]; a != nil && a.inForce {
+		t := lb.total(s)
+		totals = append(totals, t)
+		if a := lb.admission.services[s.Name]; a != nil && (a.inForce || t.Slots > 0 && t.Busy >= nearPressed*t.Slots) {
 			pressed = true
 		}
 	}
