cache: aggregators of a failure domain, roots of the others

The exchange of load needs the highest-ranked live members of the own domain, with this instance, the highest-ranked one of each other domain, and the domain of the sender of a datagram. Aggregators makes one pass without a sort, as it is called twice a second with all members of a large fleet.

--- a/pkg/cache/tree.go
+++ b/pkg/cache/tree.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -25,6 +26,9 @@
 	memberTimeout = 15 * time.Second
 	// failedBackoff is how long a member that did not respond is skipped.
 	failedBackoff = 5 * time.Second
+	// maxAggregators is the number of members of a failure domain of which one adds
+	// up the load.
+	maxAggregators = 3
 )
 
 // Member describes one instance.
@@ -117,6 +121,63 @@
 	return out
 }
 
+// Aggregators returns the highest-ranked live members of this instance's failure
+// domain, with this instance, in order of rank, at most maxAggregators. The first one
+// adds up what the instances of the domain report; the next one does if it does not
+// answer.
+func (m *Members) Aggregators(now time.Time) []netip.AddrPort {
+	best := append(make([]*Member, 0, maxAggregators+1), &m.Self)
+	for _, mb := range m.byAddr {
+		if mb.Domain != m.Self.Domain || !mb.usable(now) {
+			continue
+		}
+		i, _ := slices.BinarySearchFunc(best, &mb.Member, compareRank)
+		if i < maxAggregators {
+			best = slices.Insert(best, i, &mb.Member)
+			best = best[:min(len(best), maxAggregators)]
+		}
+	}
+	out := make([]netip.AddrPort, len(best))
+	for i, mb := range best {
+		out[i] = mb.Addr
+	}
+	return out
+}
+
+// ForeignRoots returns the highest-ranked live member of each other failure domain, in
+// order of the domains' names.
+func (m *Members) ForeignRoots(now time.Time) []Member {
+	roots := map[string]*Member{}
+	for _, mb := range m.byAddr {
+		if mb.Domain == m.Self.Domain || !mb.usable(now) {
+			continue
+		}
+		if root := roots[mb.Domain]; root == nil || compareRank(&mb.Member, root) < 0 {
+			roots[mb.Domain] = &mb.Member
+		}
+	}
+	out := make([]Member, 0, len(roots))
+	for _, domain := range slices.Sorted(maps.Keys(roots)) {
+		out = append(out, *roots[domain])
+	}
+	return out
+}
+
+// DomainOf returns the failure domain of a live member, and false if the address is
+// not that of one. A member that did not answer this instance lately is live too.
+func (m *Members) DomainOf(now time.Time, a netip.AddrPort) (string, bool) {
+	mb := m.byAddr[a]
+	if mb == nil || now.Sub(mb.lastSeen) > memberTimeout {
+		return "", false
+	}
+	return mb.Domain, true
+}
+
+// usable reports whether a member is live and not skipped.
+func (mb *member) usable(now time.Time) bool {
+	return now.Sub(mb.lastSeen) <= memberTimeout && !now.Before(mb.failedUntil)
+}
+
 // trim keeps only the highest-ranked members of each other failure domain. The
 // tree needs only the first of them, and with 13,000 instances the rest would
 // cost more than all other control work.
--- a/pkg/cache/tree_test.go
+++ b/pkg/cache/tree_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -119,3 +120,57 @@
 		assert.Equal(t, len(m.DomainMembers(testStart)), 40)
 	}
 }
+
+// Guards against instances of one failure domain that choose different aggregators, one
+// that failed and stays the first, and one of another domain.
+func TestAggregators(t *testing.T) {
+	all := newMembers(4, 40, func(int, int) bool { return true })
+	first := all[0].Aggregators(testStart)
+	assert.Equal(t, len(first), maxAggregators)
+	self := map[netip.AddrPort]*Members{}
+	for _, m := range all {
+		self[m.Self.Addr] = m
+		if m.Self.Domain == all[0].Self.Domain {
+			assert.Assert(t, slices.Equal(m.Aggregators(testStart), first))
+		}
+	}
+	for i, a := range first {
+		assert.Equal(t, self[a].Self.Domain, all[0].Self.Domain)
+		if i > 0 {
+			assert.Assert(t, compareRank(&self[first[i-1]].Self, &self[a].Self) < 0)
+		}
+	}
+	last := self[first[2]]
+	last.MarkFailed(testStart, first[0])
+	assert.Equal(t, last.Aggregators(testStart)[0], first[1])
+	assert.Equal(t, last.Aggregators(testStart.Add(failedBackoff))[0], first[0])
+	alone := last.Aggregators(testStart.Add(memberTimeout + time.Second))
+	assert.Assert(t, len(alone) == 1 && alone[0] == last.Self.Addr)
+}
+
+// Guards against totals that are sent to an instance that is gone or does not add up its
+// domain, and against reports of strangers.
+func TestForeignRoots(t *testing.T) {
+	all := newMembers(4, 40, func(int, int) bool { return true })
+	m := all[0]
+	roots := m.ForeignRoots(testStart)
+	assert.Equal(t, len(roots), 3)
+	for _, root := range roots {
+		for _, other := range all {
+			if other.Self.Domain == root.Domain {
+				assert.Equal(t, other.Aggregators(testStart)[0], root.Addr)
+			}
+		}
+	}
+	m.MarkFailed(testStart, roots[1].Addr)
+	next := m.ForeignRoots(testStart)
+	assert.Assert(t, next[1].Domain == roots[1].Domain && next[1].Addr != roots[1].Addr)
+	domain, ok := m.DomainOf(testStart, roots[1].Addr)
+	assert.Assert(t, ok && domain == roots[1].Domain)
+	_, ok = m.DomainOf(testStart, netip.MustParseAddrPort("192.0.2.1:7000"))
+	assert.Assert(t, !ok)
+	late := testStart.Add(memberTimeout + time.Second)
+	_, ok = m.DomainOf(late, roots[1].Addr)
+	assert.Assert(t, !ok)
+	assert.Equal(t, len(m.ForeignRoots(late)), 0)
+}
