relay: instances exchange their load by datagrams

Each instance sends its report to the aggregator of its failure domain every 500 ms, or as soon as the latest sums ask for it, and gets the sums as the answer. The aggregator sends the domain's totals to the other domains every 500 ms, every second while nothing is in progress; it prefers the instance from which that domain's totals come to the highest-ranked one known here, which may be down. One goroutine reads and sends, so that the exchange has no locks of its own.

A datagram that is not used is counted by reason and logged at most once a second for each. Without the socket there is one warning and no exchange. Nothing is sent while the balancer says that its settings do not call for it, which is always so until pkg/router has the sums, nor by an instance that is stopping.

Tests of pkg/relay pass, twice with the race detector those of the exchange.

--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -83,6 +83,8 @@
 	Log      *slog.Logger
 	// Counters count packets and requests.
 	Counters Counters
+	// Loads count the datagrams by which instances exchange their load.
+	Loads LoadCounters
 	// Debug serves the variables of Vars at the address Metrics. Without Debug
 	// no such server runs.
 	Metrics netip.AddrPort
@@ -93,6 +95,7 @@
 	packet       router.Packet // the packet being handled
 	leaving      atomic.Bool
 	lastPacketAt atomic.Int64 // arrival of the latest packet in Unix nanoseconds
+	sharer       loadSharer   // Balancer unless a test replaces it
 
 	// cacheMu guards the fields below. It is locked before mu.
 	cacheMu         sync.Mutex
@@ -154,6 +157,7 @@
 	wg.Go(func() { r.probe(runCtx) })
 	wg.Go(func() { r.runReadPolicy(runCtx) })
 	wg.Go(func() { r.exchangeLoop(runCtx) })
+	wg.Go(func() { r.shareLoad(runCtx) })
 	for k := range cache.Kinds {
 		wg.Go(func() { r.readLoop(runCtx, k) })
 	}
