--- a/pkg/admit/admit.go
+++ b/pkg/admit/admit.go
@@ -16,6 +16,9 @@
 	// waitShare is the share of the latency target that a request may wait for a
 	// slot. The rest is for the work, the path and a second try.
 	waitShare = 0.15
+	// busyShare is the share of the slots that must be busy for a plan to come into
+	// force. With fewer, the queues are those of single servers, which placing avoids.
+	busyShare = 0.9
 	// resumeShare is the share of the bearable requests in progress below which a
 	// service is not pressed any more, once that held for calmTime.
 	resumeShare = 0.7
@@ -137,14 +140,14 @@
 	return (1 + (bearablePerSlot(target, work)-1)*(1-s.shrunk)) * own.Slots
 }
 
-// setPressed puts the plan in force when more requests are in progress than
-// bearable, or callers have no server of the own failure domain.
+// setPressed puts the plan in force when nearly all slots are busy and more requests
+// are in progress than bearable.
 func (s *Service) setPressed(now time.Time, bearable float64, own *Domain) {
 	inProgress := own.InProgress + own.ReceivedInProgress
 	switch {
-	case own.Slots > 0 && inProgress >= bearable && bearable > 0:
+	case own.Slots > 0 && inProgress >= bearable && (s.pressed || own.Busy+own.ReceivedInProgress >= busyShare*own.Slots):
 		s.pressed, s.calmSince = true, now
-	case own.Slots == 0 || inProgress >= resumeShare*bearable:
+	case inProgress >= resumeShare*bearable && own.Slots > 0:
 		s.calmSince = now
 	case now.Sub(s.calmSince) >= calmTime:
 		s.pressed = false
--- a/pkg/router/admission_test.go
+++ b/pkg/router/admission_test.go
@@ -143,6 +143,28 @@
 	assert.Equal(t, inProgress(t, lb, now.Add(maxInProgress)), 0)
 }
 
+// Guards against requests that two instances count after the platform's routers moved
+// all flows.
+func TestMovedFlowsCountOnce(t *testing.T) {
+	lb, now := newPressedBalancer()
+	var mine, others []*caller
+	for port := range uint16(8) {
+		c := newCaller(lb, port, otherAddr)
+		assertForwarded(t, c.open(now, 0))
+		assertForwarded(t, c.data(now, 0, 1, 0))
+		mine = append(mine, c)
+		o := newCaller(lb, 100+port, otherAddr)
+		o.token = c.token
+		others = append(others, o)
+	}
+	assert.Equal(t, inProgress(t, lb, now), len(mine))
+	now = now.Add(2 * movedBefore)
+	for _, o := range others[:movedFlows] {
+		assertForwarded(t, o.data(now, 0, 0, 100))
+	}
+	assert.Equal(t, inProgress(t, lb, now), 0)
+}
+
 // inProgress returns the requests in progress of a report.
 func inProgress(t *testing.T, lb *Balancer, now time.Time) int {
 	t.Helper()
--- a/pkg/router/balancer.go
+++ b/pkg/router/balancer.go
@@ -304,7 +304,7 @@
 	lb.beginCall(now)
 	lb.expireRemoved(now)
 	lb.expireRestored(now)
-	lb.demand.expire(now)
+	lb.demand.expire(now, maxInProgress)
 	lb.expireSums(now)
 	if now.Sub(lb.cleanedAt) < time.Second {
 		return
--- a/pkg/router/demand.go
+++ b/pkg/router/demand.go
@@ -10,6 +10,11 @@
 	// maxInProgress is how long a request without an answer counts as in progress.
 	// Its packets may go through another instance by then, or its caller gave up.
 	maxInProgress = 2 * time.Second
+	// movedFlows is the number of flows from other instances, without requests on
+	// others, that shows that the platform's routers distribute all flows anew. Own
+	// requests that began more than movedBefore ago then go on at other instances.
+	movedFlows  = 4
+	movedBefore = 100 * time.Millisecond
 	// rejectionRatio is the length of an answer, as a share of what is usual for its
 	// route, below which it looks like a rejection.
 	rejectionRatio = 0.25
@@ -23,6 +28,9 @@
 	services map[string]*serviceDemand
 	begunAt  []activeRequest // oldest first; those before next are done
 	next     int
+	// moved counts flows that came from other instances, less the requests that began
+	// on flows which did not.
+	moved int
 }
 
 // serviceDemand is the demand on one service.
@@ -62,6 +70,9 @@
 	if f.adopted || f.requests > 0 {
 		s.begun[f.class].Add(now, 1)
 	}
+	if !f.adopted {
+		d.moved = max(d.moved-1, 0)
+	}
 	f.requests++
 	d.answerEnded(now, f, rt)
 	f.answerFrom, f.answered = f.acked, false
@@ -118,9 +129,18 @@
 	return false
 }
 
-// expire takes requests out of those in progress that began too long ago.
-func (d *demand) expire(now time.Time) {
-	for d.next < len(d.begunAt) && now.Sub(d.begunAt[d.next].at) >= maxInProgress {
+// adopted counts an open flow that comes from another instance.
+func (d *demand) adopted(now time.Time) {
+	if d.moved++; d.moved < movedFlows {
+		return
+	}
+	d.moved = 0
+	d.expire(now, movedBefore)
+}
+
+// expire takes requests out of those in progress that began longer ago than an age.
+func (d *demand) expire(now time.Time, age time.Duration) {
+	for d.next < len(d.begunAt) && now.Sub(d.begunAt[d.next].at) >= age {
 		r := &d.begunAt[d.next]
 		if r.flow.requestStartedAt.Equal(r.at) {
 			r.flow.server.load.inactive(r.flow)
--- a/pkg/router/flow.go
+++ b/pkg/router/flow.go
@@ -138,6 +138,7 @@
 		// Another instance opened the flow, or the opening was retransmitted
 		// and went to two servers, and the other one got the flow.
 		f = lb.flows.adopt(now, p, srv)
+		lb.demand.adopted(now)
 	}
 	f.lastPacketAt = now
 	if !f.open {
--- a/pkg/router/sums.go
+++ b/pkg/router/sums.go
@@ -29,7 +29,7 @@
 	if !lb.Ready() || len(lb.admission.services) == 0 {
 		return nil, false
 	}
-	lb.demand.expire(now)
+	lb.demand.expire(now, maxInProgress)
 	for name := range lb.admission.services {
 		services = append(services, lb.reportService(now, name))
 	}
