--- a/pkg/admit/admit.go
+++ b/pkg/admit/admit.go
@@ -19,6 +19,9 @@
 	// busyShare is the share of the slots that must be busy for a plan to come into
 	// force. With fewer, the queues are those of single servers, which placing avoids.
 	busyShare = 0.9
+	// flowHorizon is the time in which the requests of a new flow count when it is
+	// admitted. Those of the flows that are open cannot be refused afterwards.
+	flowHorizon = time.Second
 	// resumeShare is the share of the bearable requests in progress below which a
 	// service is not pressed any more, once that held for calmTime.
 	resumeShare = 0.7
@@ -42,6 +45,8 @@
 // Domain is the load of a service in one failure domain.
 type Domain struct {
 	load.Total
+	// Flows is the number of open flows at the servers.
+	Flows float64
 	// Received is the rate of flows that other failure domains send here, and
 	// ReceivedInProgress what they have in progress here.
 	Received, ReceivedInProgress float64
@@ -92,16 +97,34 @@
 	if !s.pressed {
 		return Plan{}, false
 	}
+	perFlow := requestsPerFlow(&own)
 	states := make([]domainState, 0, len(others)+1)
 	states = append(states, domainState{Domain: &own, capacity: capacity(&own, work, bearable), pressed: true})
 	for i := range others {
-		d := &others[i]
+		d := others[i]
 		bearable := bearablePerSlot(target, work) * d.Slots
-		states = append(states, domainState{Domain: d, capacity: capacity(d, work, bearable), pressed: d.InProgress >= bearable})
+		states = append(states, domainState{Domain: &d, capacity: capacity(&d, work, bearable), pressed: d.InProgress >= bearable})
+	}
+	for i := range states {
+		for c := range load.Classes {
+			states[i].Demand.Offered[c] *= perFlow[c]
+		}
 	}
 	return plan(states), true
 }
 
+// requestsPerFlow returns by class how many requests a new flow carries within
+// flowHorizon: its first one, and as many as the open flows carry now.
+func requestsPerFlow(own *Domain) (out [load.Classes]float64) {
+	for c := range load.Classes {
+		out[c] = 1
+		if own.Flows > 0 {
+			out[c] += own.Demand.Begun[c] / own.Flows * flowHorizon.Seconds()
+		}
+	}
+	return out
+}
+
 // workTime returns the mean time for which a request occupies a slot, in seconds, or
 // 0 if there are no answers.
 func workTime(own Domain, others []Domain) float64 {
--- a/pkg/router/sums.go
+++ b/pkg/router/sums.go
@@ -170,6 +170,9 @@
 			continue
 		}
 		own := admit.Domain{Total: lb.total(s)}
+		for _, srv := range s.Servers {
+			own.Flows += float64(srv.Flows)
+		}
 		var others []admit.Domain
 		for _, t := range lb.admission.sums.Others {
 			if t.Service != s.Name || t.Domain == lb.Domain {
