--- a/pkg/admit/admit.go
+++ b/pkg/admit/admit.go
@@ -15,7 +15,7 @@
 const (
 	// waitShare is the share of the latency target that a request may wait for a
 	// slot. The rest is for the work, the path and a second try.
-	waitShare = 0.15
+	waitShare = 0.25
 	// busyShare is the share of the slots that must be busy for a plan to come into
 	// force. With fewer, the queues are those of single servers, which placing avoids.
 	busyShare = 0.9
@@ -26,9 +26,14 @@
 	// service is not pressed any more, once that held for calmTime.
 	resumeShare = 0.7
 	calmTime    = time.Second
-	// minCorrection and maxCorrection bound the factor by which the capacity is
-	// corrected for queues that are longer or shorter than bearable.
-	minCorrection, maxCorrection = 0.6, 1.25
+	// settleTime is the time in which requests in progress above or below the bearable
+	// number are to come to it. It is longer than the sums are old.
+	settleTime = 500 * time.Millisecond
+	// trimGain is by how much each update corrects the capacity, as a share of it, while
+	// the requests in progress are far from the bearable number. It is never below the
+	// measured one, which counts the path of requests as work while slots are free.
+	trimGain = 0.06
+	maxTrim  = 0.3
 	// leastShare is the share of the capacity that lower classes together get
 	// whatever the higher ones ask for, so that they do not starve.
 	leastShare = 0.02
@@ -37,8 +42,8 @@
 	// lowers the bearable wait by roomStep, to minRoom at least, and raises it
 	// again by roomGain otherwise.
 	rejectedShare = 0.05
-	roomStep      = 0.93
-	roomGain      = 0.01
+	roomStep      = 0.97
+	roomGain      = 0.03
 	minRoom       = 0.3
 )
 
@@ -71,9 +76,12 @@
 // use.
 type Service struct {
 	pressed   bool
+	refuses   bool // the last plan refused flows, or sent them away
 	calmSince time.Time
 	// shrunk is the part by which rejections lowered the bearable wait.
 	shrunk float64
+	// trim is the part by which the capacity is above the measured one.
+	trim float64
 }
 
 // Pressed reports whether the plan is in force. Otherwise all flows are admitted.
@@ -95,22 +103,29 @@
 	bearable := s.bearable(target, work, &own)
 	s.setPressed(now, bearable, &own)
 	if !s.pressed {
+		s.trim, s.refuses = 0, false
 		return Plan{}, false
 	}
 	perFlow := requestsPerFlow(&own)
 	states := make([]domainState, 0, len(others)+1)
-	states = append(states, domainState{Domain: &own, capacity: capacity(&own, work, bearable), pressed: true})
+	s.updateTrim(bearable, &own)
+	states = append(states, domainState{Domain: &own, capacity: (1 + s.trim) * capacity(&own, work, bearable), pressed: true})
 	for i := range others {
 		d := others[i]
 		bearable := bearablePerSlot(target, work) * d.Slots
-		states = append(states, domainState{Domain: &d, capacity: capacity(&d, work, bearable), pressed: d.InProgress >= bearable})
+		states = append(states, domainState{Domain: &d, capacity: (1 + s.trim) * capacity(&d, work, bearable), pressed: d.InProgress >= bearable})
 	}
 	for i := range states {
 		for c := range load.Classes {
 			states[i].Demand.Offered[c] *= perFlow[c]
 		}
 	}
-	return plan(states), true
+	p := plan(states)
+	s.refuses = false
+	for c, share := range p.Admit {
+		s.refuses = s.refuses || share < 1 && own.Demand.Offered[c] > 0
+	}
+	return p, true
 }
 
 // requestsPerFlow returns by class how many requests a new flow carries within
@@ -163,6 +178,15 @@
 	return (1 + (bearablePerSlot(target, work)-1)*(1-s.shrunk)) * own.Slots
 }
 
+// updateTrim corrects the capacity by the requests in progress.
+func (s *Service) updateTrim(bearable float64, own *Domain) {
+	if bearable <= 0 {
+		return
+	}
+	off := (bearable - own.InProgress - own.ReceivedInProgress) / bearable
+	s.trim = min(max(s.trim+trimGain*min(max(off, -1), 1), 0), maxTrim)
+}
+
 // setPressed puts the plan in force when nearly all slots are busy and more requests
 // are in progress than bearable.
 func (s *Service) setPressed(now time.Time, bearable float64, own *Domain) {
@@ -170,7 +194,7 @@
 	switch {
 	case own.Slots > 0 && inProgress >= bearable && (s.pressed || own.Busy+own.ReceivedInProgress >= busyShare*own.Slots):
 		s.pressed, s.calmSince = true, now
-	case inProgress >= resumeShare*bearable && own.Slots > 0:
+	case s.refuses || inProgress >= resumeShare*bearable && own.Slots > 0:
 		s.calmSince = now
 	case now.Sub(s.calmSince) >= calmTime:
 		s.pressed = false
@@ -186,9 +210,7 @@
 	if done := d.Demand.Done - d.Demand.Rejected; done > 0 && d.Busy > d.Slots/2 {
 		work = d.Busy / done
 	}
-	inProgress := d.InProgress + d.ReceivedInProgress
-	correction := 1 + (bearable-inProgress)/max(bearable, 1)
-	return d.Slots / work * min(max(correction, minCorrection), maxCorrection)
+	return max(d.Slots/work+(bearable-d.InProgress-d.ReceivedInProgress)/settleTime.Seconds(), 0)
 }
 
 // shares returns the shares of new flows by class that fit into a capacity, the higher
--- a/pkg/load/load.go
+++ b/pkg/load/load.go
@@ -100,7 +100,7 @@
 }
 
 // rateWindow is the time constant of a Rate.
-const rateWindow = 500 * time.Millisecond
+const rateWindow = 250 * time.Millisecond
 
 // Rate estimates how often something happens. Events count less the longer ago they
 // are. The zero value is a rate of 0.
--- a/pkg/router/place.go
+++ b/pkg/router/place.go
@@ -177,9 +177,6 @@
 // all instances of the failure domain.
 func (lb *Balancer) waiting(now time.Time, p *pool, srv *server) float64 {
 	load := &srv.load
-	if p.pressed {
-		return float64(load.shared.others+load.active+load.pendingOpenings) / srv.slots()
-	}
 	return (float64(load.InFlight+load.pendingOpenings) + load.Backlog(now)) / srv.slots()
 }
 
