load, relay: an aggregator names the better one in its answers

Until the exchange of members is complete after a start, instances know different highest-ranked members and report to several aggregators. An instance that the better aggregator does not know yet still gets no answer there; that is open.

Aggregators returns members instead of addresses for that.

Tests were seen to fail without the mechanism that they test: 20 changes of the code, one at a time, each failed a test after two tests were made stricter (the age of a report in seconds, and instances that stop to report while all are still known).

--- a/pkg/cache/tree.go
+++ b/pkg/cache/tree.go
@@ -102,9 +102,7 @@
 	members := m.live(now)
 	m.Rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 	for _, mb := range members[:min(len(members), sampleSize)] {
-		sent := mb.Member
-		sent.Age = uint32(max(now.Sub(mb.lastSeen), 0) / time.Millisecond)
-		out = append(out, sent)
+		out = append(out, mb.sent(now))
 	}
 	return out
 }
@@ -125,21 +123,21 @@
 // domain, with this instance, in order of rank, at most maxAggregators. The first one
 // adds up what the instances of the domain report; the next one does if it does not
 // answer.
-func (m *Members) Aggregators(now time.Time) []netip.AddrPort {
-	best := append(make([]*Member, 0, maxAggregators+1), &m.Self)
+func (m *Members) Aggregators(now time.Time) []Member {
+	best := append(make([]*member, 0, maxAggregators+1), &member{Member: m.Self, lastSeen: now})
 	for _, mb := range m.byAddr {
 		if mb.Domain != m.Self.Domain || !mb.usable(now) {
 			continue
 		}
-		i, _ := slices.BinarySearchFunc(best, &mb.Member, compareRank)
+		i, _ := slices.BinarySearchFunc(best, mb, func(a, b *member) int { return compareRank(&a.Member, &b.Member) })
 		if i < maxAggregators {
-			best = slices.Insert(best, i, &mb.Member)
+			best = slices.Insert(best, i, mb)
 			best = best[:min(len(best), maxAggregators)]
 		}
 	}
-	out := make([]netip.AddrPort, len(best))
+	out := make([]Member, len(best))
 	for i, mb := range best {
-		out[i] = mb.Addr
+		out[i] = mb.sent(now)
 	}
 	return out
 }
@@ -173,6 +171,13 @@
 	return mb.Domain, true
 }
 
+// sent returns the member as it is sent to others.
+func (mb *member) sent(now time.Time) Member {
+	out := mb.Member
+	out.Age = uint32(max(now.Sub(mb.lastSeen), 0) / time.Millisecond)
+	return out
+}
+
 // usable reports whether a member is live and not skipped.
 func (mb *member) usable(now time.Time) bool {
 	return now.Sub(mb.lastSeen) <= memberTimeout && !now.Before(mb.failedUntil)
--- a/pkg/cache/tree_test.go
+++ b/pkg/cache/tree_test.go
@@ -125,13 +125,13 @@
 // that failed and stays the first, and one of another domain.
 func TestAggregators(t *testing.T) {
 	all := newMembers(4, 40, func(int, int) bool { return true })
-	first := all[0].Aggregators(testStart)
+	first := aggregatorsOf(all[0], testStart)
 	assert.Equal(t, len(first), maxAggregators)
 	self := map[netip.AddrPort]*Members{}
 	for _, m := range all {
 		self[m.Self.Addr] = m
 		if m.Self.Domain == all[0].Self.Domain {
-			assert.Assert(t, slices.Equal(m.Aggregators(testStart), first))
+			assert.Assert(t, slices.Equal(aggregatorsOf(m, testStart), first))
 		}
 	}
 	for i, a := range first {
@@ -142,12 +142,19 @@
 	}
 	last := self[first[2]]
 	last.MarkFailed(testStart, first[0])
-	assert.Equal(t, last.Aggregators(testStart)[0], first[1])
-	assert.Equal(t, last.Aggregators(testStart.Add(failedBackoff))[0], first[0])
-	alone := last.Aggregators(testStart.Add(memberTimeout + time.Second))
+	assert.Equal(t, aggregatorsOf(last, testStart)[0], first[1])
+	assert.Equal(t, aggregatorsOf(last, testStart.Add(failedBackoff))[0], first[0])
+	alone := aggregatorsOf(last, testStart.Add(memberTimeout+time.Second))
 	assert.Assert(t, len(alone) == 1 && alone[0] == last.Self.Addr)
 }
 
+func aggregatorsOf(m *Members, now time.Time) (out []netip.AddrPort) {
+	for _, a := range m.Aggregators(now) {
+		out = append(out, a.Addr)
+	}
+	return out
+}
+
 // Guards against totals that are sent to an instance that is gone or does not add up its
 // domain, and against reports of strangers.
 func TestForeignRoots(t *testing.T) {
@@ -158,7 +165,7 @@
 	for _, root := range roots {
 		for _, other := range all {
 			if other.Self.Domain == root.Domain {
-				assert.Equal(t, other.Aggregators(testStart)[0], root.Addr)
+				assert.Equal(t, aggregatorsOf(other, testStart)[0], root.Addr)
 			}
 		}
 	}
--- a/pkg/load/codec.go
+++ b/pkg/load/codec.go
@@ -4,7 +4,10 @@
 	"cmp"
 	"encoding/binary"
 	"fmt"
+	"math"
+	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -41,6 +44,21 @@
 	Totals  []Total
 }
 
+// Answer is what an aggregator answers to a report.
+type Answer struct {
+	Sums *Sums
+	// Preferred is the instance to which the aggregator sends its own reports, and
+	// is to be preferred to it. The zero value means the aggregator itself.
+	Preferred Candidate
+}
+
+// Candidate is an instance that may be the aggregator of its failure domain.
+type Candidate struct {
+	Addr   netip.AddrPort
+	Weight uint32        // its rank among the instances
+	Seen   time.Duration // how long ago it was known to be live
+}
+
 // VersionError reports a datagram of a version or kind that is not known.
 type VersionError struct{ Version, Kind uint8 }
 
@@ -86,21 +104,28 @@
 	})
 }
 
-// EncodeSums returns the datagram of sums, without an echo. If it would exceed
+// EncodeAnswer returns the datagram of an answer, without an echo. If it would exceed
 // MaxDatagram, servers with the least in progress are left out; if the other domains
 // would take more than half of it, those with the least free room are.
-func EncodeSums(s *Sums) ([]byte, error) {
-	others, err := fitTotals(s.Others, MaxDatagram/2, compareRoom, func(list []Total) ([]byte, error) {
+func EncodeAnswer(a *Answer) ([]byte, error) {
+	sums, preferred := a.Sums, &a.Preferred
+	others, err := fitTotals(sums.Others, MaxDatagram/2, compareRoom, func(list []Total) ([]byte, error) {
 		return EncodeTotals(&Totals{Totals: list})
 	})
 	if err != nil {
 		return nil, err
 	}
-	return fit(s.Services, func(services []Service) ([]byte, error) {
+	var addr []byte
+	if preferred.Addr.IsValid() {
+		if addr, err = preferred.Addr.MarshalBinary(); err != nil {
+			return nil, fmt.Errorf("encode address %v: %w", preferred.Addr, err)
+		}
+	}
+	return fit(sums.Services, func(services []Service) ([]byte, error) {
 		var n names
 		w := wireSums{
-			AgeMs: millis(s.Age), Reports: int64(min(s.Reports, maxCount)), IntervalMs: millis(s.Interval),
-			Services: n.services(services), Others: n.totals(others),
+			AgeMs: millis(sums.Age), Reports: int64(min(sums.Reports, maxCount)), IntervalMs: millis(sums.Interval),
+			Services: n.services(services), Others: n.totals(others), Preferred: addr, Weight: int64(preferred.Weight), SeenMs: millis(preferred.Seen),
 		}
 		w.Names = n.list
 		return encode(KindSums, &w)
@@ -259,19 +284,23 @@
 	return checked(&r, &Report{StartedAt: w.StartedAt, Sequence: w.Sequence, Services: r.services(w.Services)})
 }
 
-// DecodeSums decodes sums. A value out of bounds is a *LimitError.
-func DecodeSums(b []byte) (*Sums, error) {
+// DecodeAnswer decodes an answer. A value out of bounds is a *LimitError.
+func DecodeAnswer(b []byte) (*Answer, error) {
 	var w wireSums
 	if err := decodeBody(b, KindSums, &w); err != nil {
 		return nil, err
 	}
 	var r reader
 	r.setNames(w.Names)
-	s := &Sums{
-		Age: r.millis("age", w.AgeMs), Reports: int(r.count("reports", w.Reports, maxCount)), Interval: r.millis("interval", w.IntervalMs),
-		Services: r.services(w.Services), Others: r.totals(w.Others),
-	}
-	return checked(&r, s)
+	return checked(&r, &Answer{
+		Sums: &Sums{
+			Age: r.millis("age", w.AgeMs), Reports: int(r.count("reports", w.Reports, maxCount)), Interval: r.millis("interval", w.IntervalMs),
+			Services: r.services(w.Services), Others: r.totals(w.Others),
+		},
+		Preferred: Candidate{
+			Addr: r.addr("address", w.Preferred), Weight: uint32(r.count("weight", w.Weight, math.MaxUint32)), Seen: r.millis("age of the address", w.SeenMs),
+		},
+	})
 }
 
 // DecodeTotals decodes totals. A value out of bounds is a *LimitError.
--- a/pkg/load/codec_test.go
+++ b/pkg/load/codec_test.go
@@ -58,13 +58,15 @@
 
 	sums := testSums(120)
 	sums.Services = byID(sums.Services)
-	b, err = EncodeSums(sums)
+	preferred := Candidate{addrOf(3), 900, 250 * time.Millisecond}
+	b, err = EncodeAnswer(&Answer{sums, preferred})
 	assert.NilError(t, err)
 	SetEcho(b, 70_000)
 	assert.Equal(t, Echo(b), uint16(70_000-65_536))
-	gotSums, err := DecodeSums(b)
+	answer, err := DecodeAnswer(b)
 	assert.NilError(t, err)
-	assert.DeepEqual(t, gotSums, sums)
+	assert.DeepEqual(t, answer.Sums, sums)
+	assert.Equal(t, answer.Preferred, preferred)
 
 	totals := &Totals{Domain: "north-a", Reports: 28, Totals: []Total{domainTotal("north-a", "order-intake"), domainTotal("north-a", "render")}}
 	b, err = EncodeTotals(totals)
@@ -82,7 +84,7 @@
 	assert.Assert(t, len(b) < 150, "report of %d bytes", len(b))
 	sums := testSums(150)
 	sums.Others = nil
-	b, err = EncodeSums(sums)
+	b, err = EncodeAnswer(&Answer{Sums: sums})
 	assert.NilError(t, err)
 	assert.Assert(t, len(b) < 1200, "sums of %d bytes", len(b))
 }
@@ -99,11 +101,12 @@
 		total.Slots += float64(i)
 		sums.Others = append(sums.Others, total)
 	}
-	b, err := EncodeSums(sums)
+	b, err := EncodeAnswer(&Answer{Sums: sums})
 	assert.NilError(t, err)
 	assert.Assert(t, len(b) <= MaxDatagram && len(b) > MaxDatagram-2*maxServerSize, "%d bytes", len(b))
-	got, err := DecodeSums(b)
+	answer, err := DecodeAnswer(b)
 	assert.NilError(t, err)
+	got := answer.Sums
 	servers := got.Services[0].Servers
 	assert.Assert(t, len(servers) > 70, "%d servers", len(servers))
 	for _, s := range servers {
@@ -178,7 +181,7 @@
 func FuzzDatagram(f *testing.F) {
 	sums := testSums(3)
 	report, _ := EncodeReport(&Report{Services: sums.Services})
-	answer, _ := EncodeSums(sums)
+	answer, _ := EncodeAnswer(&Answer{sums, Candidate{Addr: addrOf(3)}})
 	totals, _ := EncodeTotals(&Totals{Domain: "north-b", Totals: sums.Others[:1]})
 	for _, b := range [][]byte{report, answer, totals, nil} {
 		f.Add(b)
@@ -187,8 +190,8 @@
 		if r, err := DecodeReport(b); err == nil {
 			assertFits(t)(EncodeReport(r))
 		}
-		if s, err := DecodeSums(b); err == nil {
-			assertFits(t)(EncodeSums(s))
+		if a, err := DecodeAnswer(b); err == nil {
+			assertFits(t)(EncodeAnswer(a))
 		}
 		if totals, err := DecodeTotals(b); err == nil {
 			assertFits(t)(EncodeTotals(totals))
--- a/pkg/load/exchange_test.go
+++ b/pkg/load/exchange_test.go
@@ -109,17 +109,17 @@
 	r.Instance = addrOf(i)
 	assert.Assert(f.t, aggregator.ledger.Add(f.now, r))
 	sums := aggregator.ledger.Sums(f.now, false)
-	b, err = EncodeSums(&sums)
+	b, err = EncodeAnswer(&Answer{Sums: &sums})
 	assert.NilError(f.t, err)
 	f.bytes += len(b) + ipUDPHeaders
 	SetEcho(b, sequence)
 	if f.lost() {
 		return
 	}
-	answer, err := DecodeSums(b)
+	answer, err := DecodeAnswer(b)
 	assert.NilError(f.t, err)
 	assert.Assert(f.t, nd.Answered(to, Echo(b)))
-	nd.sums = answer
+	nd.sums = answer.Sums
 }
 
 // assertAtMost fails if a sum is larger than the truth: somebody was counted twice.
--- a/pkg/load/reporter.go
+++ b/pkg/load/reporter.go
@@ -46,8 +46,7 @@
 		}
 	}
 	if to != r.target {
-		// Answers to reports that another aggregator got do not count.
-		r.target, r.unanswered, r.answered = to, 0, r.sequence
+		r.target, r.unanswered = to, 0
 	}
 	r.sequence++
 	r.unanswered++
--- a/pkg/load/wire.go
+++ b/pkg/load/wire.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/binary"
 	"math"
+	"net/netip"
 	"slices"
 	"time"
 )
@@ -25,6 +26,8 @@
 	Names                      []string
 	Services                   []wireService
 	Others                     []wireTotal
+	Preferred                  []byte // address; empty for none
+	Weight, SeenMs             int64
 }
 
 // wireTotals are the totals of the failure domain with the name 0.
@@ -187,6 +190,18 @@
 	return time.Duration(r.count(field, v, maxDuration.Milliseconds())) * time.Millisecond
 }
 
+// addr returns an address with its port, which is zero for no bytes.
+func (r *reader) addr(field string, b []byte) (a netip.AddrPort) {
+	if len(b) == 0 {
+		return a
+	}
+	if err := a.UnmarshalBinary(b); err != nil || !a.IsValid() || a.Port() == 0 {
+		r.fail("bytes of "+field, int64(len(b)), 0)
+		return netip.AddrPort{}
+	}
+	return a
+}
+
 func (r *reader) setNames(list []string) {
 	r.count("names", int64(len(list)), maxNames)
 	for _, n := range list {
--- a/pkg/relay/sums.go
+++ b/pkg/relay/sums.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"ebonypaddle/pkg/cache"
 	"ebonypaddle/pkg/load"
 	"ebonypaddle/pkg/wait"
 )
@@ -60,8 +61,10 @@
 	aggregator    netip.AddrPort // the target of the latest report; zero without one
 	interval      time.Duration  // of reports
 	reportAt      time.Time      // when the next one is due
-	sums          []byte         // the latest ones as a datagram
-	sumsAt        time.Time      // when they were added up
+	preferred     load.Candidate // the aggregator, if it is another instance, at reportedAt
+	reportedAt    time.Time
+	answer        []byte    // the latest sums as a datagram
+	summedAt      time.Time // when they were added up
 	droppedLineAt [dropReasons]time.Time
 
 	// The fields below are those of an aggregator.
@@ -145,17 +148,11 @@
 	services, ok := x.sharer.LoadReport(now)
 	r.mu.Unlock()
 	if !ok || r.leaving.Load() {
-		x.aggregator, x.interval = netip.AddrPort{}, load.BaseInterval
+		x.aggregator, x.preferred, x.interval = netip.AddrPort{}, load.Candidate{}, load.BaseInterval
+		x.totals, x.pressed = nil, false
 		return
 	}
-	r.cacheMu.Lock()
-	aggregators := r.members.Aggregators(now)
-	r.cacheMu.Unlock()
-	to, sequence := x.reporter.Next(now, aggregators)
-	if to != x.aggregator {
-		r.Log.Info("load aggregator changed", "aggregator", to, "before", x.aggregator, "candidates", aggregators)
-		x.aggregator = to
-	}
+	to, sequence := x.chooseAggregator(now)
 	report := load.Report{Instance: r.Control, StartedAt: r.ReadPolicy.StartedAt.UnixNano(), Sequence: sequence, Services: services}
 	if to == r.Control {
 		x.reporter.Answered(to, uint16(sequence))
@@ -166,20 +163,46 @@
 		r.mu.Unlock()
 		return
 	}
+	x.totals, x.pressed = nil, false
 	b, err := load.EncodeReport(&report)
 	if x.send(now, to, b, err) {
 		r.Loads.Reported.Add(1)
 	}
 }
 
+// chooseAggregator returns the target and the sequence number of the next report.
+func (x *loadExchange) chooseAggregator(now time.Time) (to netip.AddrPort, sequence uint64) {
+	r := x.r
+	r.cacheMu.Lock()
+	members := r.members.Aggregators(now)
+	r.cacheMu.Unlock()
+	candidates := make([]netip.AddrPort, len(members))
+	for i := range members {
+		candidates[i] = members[i].Addr
+	}
+	to, sequence = x.reporter.Next(now, candidates)
+	if to != x.aggregator {
+		r.Log.Info("load aggregator changed", "aggregator", to, "before", x.aggregator, "candidates", candidates)
+		x.aggregator = to
+	}
+	x.preferred, x.reportedAt = load.Candidate{}, now
+	if to != r.Control {
+		m := &members[slices.Index(candidates, to)]
+		x.preferred = load.Candidate{Addr: to, Weight: m.Weight, Seen: time.Duration(m.Age) * time.Millisecond}
+	}
+	return to, sequence
+}
+
 // addUp returns the sums of the reports.
 func (x *loadExchange) addUp(now time.Time) *load.Sums {
 	s := x.ledger.Sums(now, x.pressed)
-	b, err := load.EncodeSums(&s)
+	a := load.Answer{Sums: &s, Preferred: x.preferred}
+	a.Preferred.Seen += now.Sub(x.reportedAt)
+	b, err := load.EncodeAnswer(&a)
 	if err != nil {
 		x.drop(now, dropNotEncoded, x.r.Control, len(b), err)
 	}
-	x.sums, x.sumsAt = b, now
+	x.answer, x.summedAt = b, now
 	return &s
 }
 
@@ -271,17 +294,18 @@
 		return
 	}
 	x.r.Loads.Reports.Add(1)
-	if now.Sub(x.sumsAt) >= sumsLifetime {
+	if now.Sub(x.summedAt) >= sumsLifetime {
 		x.addUp(now)
 	}
-	if len(x.sums) > 0 {
-		load.SetEcho(x.sums, report.Sequence)
-		x.send(now, from, x.sums, nil)
+	if len(x.answer) > 0 {
+		load.SetEcho(x.answer, report.Sequence)
+		x.send(now, from, x.answer, nil)
 	}
 }
 
+// receiveSums puts the sums of an answer in force.
 func (x *loadExchange) receiveSums(now time.Time, from netip.AddrPort, b []byte) {
-	s, err := load.DecodeSums(b)
+	a, err := load.DecodeAnswer(b)
 	if err != nil {
 		x.dropInvalid(now, from, len(b), err)
 		return
@@ -291,7 +315,15 @@
 		return
 	}
 	x.r.Loads.Sums.Add(1)
-	x.setSums(now, s)
+	x.setSums(now, a.Sums)
+	if p := &a.Preferred; p.Addr.IsValid() {
+		// After a start the exchange of members takes seconds until all know the
+		// highest-ranked ones.
+		r := x.r
+		r.cacheMu.Lock()
+		r.members.Merge(now, []cache.Member{{Addr: p.Addr, Domain: r.Balancer.Domain, Weight: p.Weight, Age: uint32(p.Seen / time.Millisecond)}})
+		r.cacheMu.Unlock()
+	}
 }
 
 // receiveTotals stores the totals of another failure domain.
--- a/pkg/relay/sums_test.go
+++ b/pkg/relay/sums_test.go
@@ -24,6 +24,8 @@
 	domain string
 	sums   atomic.Pointer[load.Sums]
 	off    atomic.Bool
+	// pressed is whether much is in progress.
+	pressed atomic.Bool
 }
 
 func (s *fakeSharer) LoadReport(time.Time) ([]load.Service, bool) {
@@ -33,7 +35,7 @@
 func (s *fakeSharer) SetSums(_ time.Time, sums *load.Sums) { s.sums.Store(sums) }
 
 func (s *fakeSharer) LoadTotals(time.Time) ([]load.Total, bool) {
-	return []load.Total{{Domain: s.domain, Service: "s", InProgress: 5}}, false
+	return []load.Total{{Domain: s.domain, Service: "s", InProgress: 5}}, s.pressed.Load()
 }
 
 // inProgress returns the requests in progress in the latest sums.
@@ -62,12 +64,11 @@
 	stop func()
 }
 
-// startSharing runs instances of the given failure domains that know each other. Those
+// newSharing returns instances of the given failure domains that know nobody. Those
 // earlier in the list have the higher rank.
-func startSharing(t *testing.T, domains ...string) []*sharing {
+func newSharing(t *testing.T, domains ...string) []*sharing {
 	t.Helper()
 	var all []*sharing
-	var members []cache.Member
 	for i, d := range domains {
 		s := &sharing{fakeSharer: &fakeSharer{domain: d}, log: &syncBuffer{}}
 		s.Relay = &Relay{
@@ -75,11 +76,24 @@
 			ReadPolicy: cache.ReadPolicy{StartedAt: time.Now()}, Balancer: &router.Balancer{Domain: d},
 		}
 		s.initMembers()
-		members = append(members, s.members.Self)
 		all = append(all, s)
 	}
+	return all
+}
+
+// meet lets an instance know others.
+func (s *sharing) meet(others ...*sharing) {
+	for _, o := range others {
+		s.members.Merge(time.Now(), []cache.Member{o.members.Self})
+	}
+}
+
+// startSharing runs instances of the given failure domains that know each other.
+func startSharing(t *testing.T, domains ...string) []*sharing {
+	t.Helper()
+	all := newSharing(t, domains...)
 	for _, s := range all {
-		s.members.Merge(time.Now(), members)
+		s.meet(all...)
 		s.start(t)
 	}
 	return all
@@ -120,6 +134,31 @@
 	})
 }
 
+// Guards against several aggregators of one failure domain for as long as it takes all
+// instances to learn of the highest-ranked one, seconds after a common restart.
+func TestAggregatorNamesTheBetterOne(t *testing.T) {
+	t.Parallel()
+	all := newSharing(t, "a", "a", "a")
+	all[0].meet(all[1:]...)
+	all[1].meet(all[0], all[2])
+	all[2].meet(all[1])
+	for _, s := range all {
+		s.start(t)
+	}
+	waitUntil(t, "all report to the first", func() bool { return all[0].inProgress() == 3 && all[2].inProgress() == 3 })
+	assert.Equal(t, all[2].Loads.latest.Load().aggregator, all[0].Control)
+}
+
+// Guards against reports that stay rare while much is in progress.
+func TestReportsComeMoreOftenUnderPressure(t *testing.T) {
+	t.Parallel()
+	all := startSharing(t, "a", "a")
+	all[0].pressed.Store(true)
+	for _, s := range all {
+		waitUntil(t, "the interval is short", func() bool { sums := s.sums.Load(); return sums != nil && sums.Interval < load.BaseInterval })
+	}
+}
+
 // Guards against a stopping instance, or one whose settings do not call for it, that
 // still counts.
 func TestNoReportWhileOff(t *testing.T) {
@@ -129,6 +168,9 @@
 	all[1].leaving.Store(true)
 	all[2].off.Store(true)
 	waitUntil(t, "two stopped to report", func() bool { return all[0].inProgress() == 1 })
+	all[0].cacheMu.Lock()
+	defer all[0].cacheMu.Unlock()
+	assert.Equal(t, len(all[0].members.DomainMembers(time.Now())), 3) // all are still known
 }
 
 // Guards against datagrams of strangers or of another format that change the sums or
@@ -155,7 +197,7 @@
 	}
 	assert.Equal(t, s.inProgress(), uint32(1))
 	lines := strings.Count(s.log.String(), "load datagram dropped")
-	allowed := 4 * (1 + int(time.Since(began)/dropLineInterval)) // for four reasons
+	allowed := 4 * (1 + int(time.Since(began)/time.Second)) // for four reasons
 	assert.Assert(t, lines >= 4 && lines <= allowed, "%d lines", lines)
 }
 
@@ -174,7 +216,7 @@
 	x := r.newLoadExchange(conn)
 	report, err := load.EncodeReport(&load.Report{Sequence: 1})
 	assert.NilError(t, err)
-	sums, err := load.EncodeSums(&load.Sums{})
+	sums, err := load.EncodeAnswer(&load.Answer{Sums: &load.Sums{}})
 	assert.NilError(t, err)
 	totals, err := load.EncodeTotals(&load.Totals{Domain: "c"})
 	assert.NilError(t, err)
