--- a/pkg/router/load_test.go
+++ b/pkg/router/load_test.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
@@ -70,30 +69,11 @@
 	latency      time.Duration // zero without an answer
 }
 
-type simEvent struct {
-	at time.Time
-	do func()
-}
-
-type eventQueue []simEvent
-
-func (e eventQueue) Len() int           { return len(e) }
-func (e eventQueue) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
-func (e eventQueue) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *eventQueue) Push(x any)        { *e = append(*e, x.(simEvent)) }
-func (e *eventQueue) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
 // simulation runs callers, servers and instances in virtual time.
 type simulation struct {
 	simConfig
+	timeline
 	seed      uint64
-	now       time.Time
-	events    eventQueue
 	rnd       *rand.Rand
 	servers   map[ServerID]*simServer
 	balancers [][]*Balancer
@@ -101,12 +81,8 @@
 	port      uint16
 }
 
-func (sim *simulation) schedule(d time.Duration, do func()) {
-	heap.Push(&sim.events, simEvent{sim.now.Add(d), do})
-}
-
 func newSimulation(seed uint64, cfg simConfig) *simulation {
-	sim := &simulation{simConfig: cfg, seed: seed, now: startTime, rnd: rand.New(rand.NewPCG(seed, 1)), servers: map[ServerID]*simServer{}}
+	sim := &simulation{simConfig: cfg, timeline: timeline{now: startTime}, seed: seed, rnd: rand.New(rand.NewPCG(seed, 1)), servers: map[ServerID]*simServer{}}
 	for n := 1; n <= cfg.domains*cfg.serversPerDomain; n++ {
 		sim.servers[ServerID(n)] = &simServer{speed: cfg.speed(n)}
 	}
@@ -219,16 +195,6 @@
 	})
 }
 
-func (sim *simulation) run(d time.Duration) {
-	end := sim.now.Add(d)
-	for len(sim.events) > 0 && sim.events[0].at.Before(end) {
-		e := heap.Pop(&sim.events).(simEvent)
-		sim.now = e.at
-		e.do()
-	}
-	sim.now = end
-}
-
 // answeredInTime returns the share of the requests that started in a span and
 // were answered within the latency target.
 func (sim *simulation) answeredInTime(from, to time.Duration) float64 {
