router: placing policies by cost, loads in proportion to the room of a failure domain

The same requests arrive in each run of a seed, and each failure domain gets load in proportion to what its servers can process.

--- a/pkg/router/load_base_test.go
+++ b/pkg/router/load_base_test.go
@@ -13,7 +13,7 @@
 // surgeOf returns a load that rises to a multiple of what the servers can process.
 func surgeOf(size int, x float64) loadConfig {
 	s := loadSizes[size]
-	return loadConfig{instances: s.instances, servers: s.servers, domains: s.domains, classes: twoClasses, calm: 0.3, surge: x, surgeFor: 10 * time.Second}
+	return loadConfig{instances: s.instances, servers: s.servers, domains: s.domains, classes: twoClasses, calm: 0.3, surge: x, surgeFor: 10 * time.Second, warmFor: 2 * time.Second}
 }
 
 // surges are loads with surges of several kinds.
--- a/pkg/router/load_events_test.go
+++ b/pkg/router/load_events_test.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	loads "ebonypaddle/pkg/load"
+	"ebonypaddle/pkg/load"
 )
 
 // play runs the calm, the surge and the calm after it.
@@ -20,7 +20,7 @@
 	for _, s := range []struct {
 		phase int
 		d     time.Duration
-	}{{warming, simWarmFor}, {calm, simCalmFor}, {surging, sim.surgeFor}, {recovering, simRecoverFor}} {
+	}{{warming, sim.warmFor}, {calm, simCalmFor}, {surging, sim.surgeFor}, {recovering, simRecoverFor}, {recovered, simRecoveredFor}} {
 		sim.phase = s.phase
 		sim.setLoads(s.phase == surging)
 		if s.phase == surging {
@@ -77,33 +77,29 @@
 // instanceReport is the latest report of an instance.
 type instanceReport struct {
 	at       time.Time
-	services []loads.Service
+	services []load.Service
 }
 
 // exchange passes the sums of each failure domain to its instances, and the totals
 // of the others with them.
 func (sim *loadSim) exchange() {
 	sim.schedule(sumsInterval, sim.exchange)
-	others := make([][]loads.Total, sim.domains)
+	others := make([][]load.Total, sim.domains)
 	for i, lb := range sim.balancers {
 		if sim.frozen[i] {
 			continue
 		}
-		sharer, ok := any(lb).(loadSharer)
-		if !ok {
-			return
-		}
-		services, ok := sharer.LoadReport(sim.now)
+		services, ok := lb.LoadReport(sim.now)
 		if !ok {
 			return
 		}
 		sim.reports[i] = instanceReport{sim.now, services}
-		if totals, _ := sharer.LoadTotals(sim.now); others[i%sim.domains] == nil {
+		if totals, _ := lb.LoadTotals(sim.now); others[i%sim.domains] == nil {
 			others[i%sim.domains] = totals
 		}
 	}
 	for d := range sim.domains {
-		sums := loads.Sums{Interval: sumsInterval}
+		sums := load.Sums{Interval: sumsInterval}
 		for i := d; i < sim.instances; i += sim.domains {
 			r := sim.reports[i]
 			if age := sim.now.Sub(r.at); age <= sumsMaxAge {
@@ -122,45 +118,44 @@
 }
 
 // deliver passes sums to the instances of a failure domain.
-func (sim *loadSim) deliver(d int, sums loads.Sums) {
+func (sim *loadSim) deliver(d int, sums load.Sums) {
 	sums.Age += sim.sums.delay
 	for i := d; i < sim.instances; i += sim.domains {
 		if sim.frozen[i] || sim.rnd.Float64() < sim.sums.lost {
 			continue
 		}
 		s := sums
-		sharer := any(sim.balancers[i]).(loadSharer)
-		sharer.SetSums(sim.now, &s)
+		sim.balancers[i].SetSums(sim.now, &s)
 		if sim.sums.twice {
 			s = sums
-			sharer.SetSums(sim.now, &s)
+			sim.balancers[i].SetSums(sim.now, &s)
 		}
 	}
 }
 
 // addServices adds the services of a report to sums.
-func addServices(sums, report []loads.Service) []loads.Service {
+func addServices(sums, report []load.Service) []load.Service {
 	for _, r := range report {
-		i := slices.IndexFunc(sums, func(s loads.Service) bool { return s.Name == r.Name })
+		i := slices.IndexFunc(sums, func(s load.Service) bool { return s.Name == r.Name })
 		if i < 0 {
 			i = len(sums)
-			sums = append(sums, loads.Service{Name: r.Name})
+			sums = append(sums, load.Service{Name: r.Name})
 		}
 		s := &sums[i]
 		s.Demand.Add(&r.Demand)
 		for _, x := range r.Servers {
-			j, found := slices.BinarySearchFunc(s.Servers, x.ID, func(y loads.Server, id uint64) int { return int(y.ID) - int(id) })
+			j, found := slices.BinarySearchFunc(s.Servers, x.ID, func(y load.Server, id uint64) int { return int(y.ID) - int(id) })
 			if !found {
-				s.Servers = slices.Insert(s.Servers, j, loads.Server{ID: x.ID})
+				s.Servers = slices.Insert(s.Servers, j, load.Server{ID: x.ID})
 			}
 			s.Servers[j].InProgress += x.InProgress
 			s.Servers[j].Flows += x.Flows
 		}
 		for _, x := range r.Sent {
-			j := slices.IndexFunc(s.Sent, func(y loads.Sent) bool { return y.Domain == x.Domain })
+			j := slices.IndexFunc(s.Sent, func(y load.Sent) bool { return y.Domain == x.Domain })
 			if j < 0 {
 				j = len(s.Sent)
-				s.Sent = append(s.Sent, loads.Sent{Domain: x.Domain})
+				s.Sent = append(s.Sent, load.Sent{Domain: x.Domain})
 			}
 			s.Sent[j].InProgress += x.InProgress
 			s.Sent[j].Opened += x.Opened
--- a/pkg/router/load_result_test.go
+++ b/pkg/router/load_result_test.go
@@ -14,24 +14,37 @@
 	calm
 	surging
 	recovering // the 2 s after the surge
+	recovered  // the second after these
 	phases
 )
 
 const (
-	simWarmFor      = 2 * time.Second
 	simCalmFor      = 2 * time.Second
 	simRecoverFor   = 2 * time.Second
+	simRecoveredFor = time.Second
 	simLateFraction = 0.1 // of the worth of an answer after the latency target
 )
 
 // tally counts what the callers of a failure domain got of a class in a phase.
 type tally struct {
 	requests, attempts, rejected, refused, broken, failed, inTime, late int
-	latencies                                                           []time.Duration
+	// latencies are those of answers. shortLatencies are those of requests with
+	// little work, where one without an answer counts as one at its deadline.
+	latencies, shortLatencies []time.Duration
 }
 
-func (t *tally) answered(c *loadClass, latency time.Duration) {
+func (t *tally) fail(c *loadClass, short bool) {
+	t.failed++
+	if short {
+		t.shortLatencies = append(t.shortLatencies, c.deadline)
+	}
+}
+
+func (t *tally) answered(c *loadClass, latency time.Duration, short bool) {
 	t.latencies = append(t.latencies, latency)
+	if short {
+		t.shortLatencies = append(t.shortLatencies, latency)
+	}
 	switch {
 	case latency <= c.target:
 		t.inTime++
@@ -46,6 +59,7 @@
 	t.requests, t.attempts, t.rejected, t.refused = t.requests+o.requests, t.attempts+o.attempts, t.rejected+o.rejected, t.refused+o.refused
 	t.broken, t.failed, t.inTime, t.late = t.broken+o.broken, t.failed+o.failed, t.inTime+o.inTime, t.late+o.late
 	t.latencies = append(t.latencies, o.latencies...)
+	t.shortLatencies = append(t.shortLatencies, o.shortLatencies...)
 }
 
 // worth returns the share of the worth of all requests that callers got.
@@ -61,12 +75,12 @@
 	return float64(t.refused) / float64(max(t.attempts+t.refused, 1))
 }
 
-func (t *tally) percentile(p int) time.Duration {
-	if len(t.latencies) == 0 {
+func percentile(latencies []time.Duration, p int) time.Duration {
+	if len(latencies) == 0 {
 		return 0
 	}
-	slices.Sort(t.latencies)
-	return t.latencies[len(t.latencies)*p/100]
+	slices.Sort(latencies)
+	return latencies[len(latencies)*p/100].Round(time.Millisecond)
 }
 
 // sum returns the results of a phase of one class, or of all if it is negative,
@@ -116,14 +130,14 @@
 	fmt.Fprintf(&b, "worth %.3f |", sim.worth(surging, -1))
 	for c := range sim.classes {
 		t := sim.sum(surging, c, -1)
-		fmt.Fprintf(&b, " c%d %.3f rej %.3f ref %.3f p50 %v p99 %v |", c, t.worth(), t.rejectedShare(), t.refusedShare(), t.percentile(50).Round(time.Millisecond), t.percentile(99).Round(time.Millisecond))
+		fmt.Fprintf(&b, " c%d %.3f rej %.3f ref %.3f p50 %v p99 %v |", c, t.worth(), t.rejectedShare(), t.refusedShare(), percentile(t.latencies, 50), percentile(t.latencies, 99))
 	}
 	b.WriteString(" domains")
 	for d := range sim.domains {
 		fmt.Fprintf(&b, " %.3f", sim.worth(surging, d))
 	}
 	all := sim.sum(surging, -1, -1)
-	fmt.Fprintf(&b, " | rejected %d of %d, refused %d, broken %d | max/mean %.2f, most in progress %d | after %.3f calm %.3f",
-		all.rejected, all.attempts, all.refused, all.broken, ratio, inWork, sim.worth(recovering, -1), sim.worth(calm, -1))
+	fmt.Fprintf(&b, " | rejected %d of %d, refused %d, broken %d | max/mean %.2f, most in progress %d | after %.3f then %.3f calm %.3f",
+		all.rejected, all.attempts, all.refused, all.broken, ratio, inWork, sim.worth(recovering, -1), sim.worth(recovered, -1), sim.worth(calm, -1))
 	return b.String()
 }
--- a/pkg/router/load_sim_test.go
+++ b/pkg/router/load_sim_test.go
@@ -5,19 +5,18 @@
 	"math/rand/v2"
 	"net/netip"
 	"time"
-
-	loads "ebonypaddle/pkg/load"
 )
 
 // The model of loadSim: callers of each failure domain send requests to a random
 // instance of it, servers have 2 slots and a queue, reject a request at once when
 // it is full, and callers try again on a new flow.
 const (
-	simSlots       = 2
-	simQueueLength = 8
-	simTries       = 3
-	simRetryDelay  = 50 * time.Millisecond
-	simLongFlow    = 10 // requests of a long flow, on average
+	simSlots        = 2
+	simQueueLength  = 8
+	simTries        = 3
+	simRetryDelay   = 50 * time.Millisecond
+	maxSimInstances = 1000
+	simLongFlow     = 10 // requests of a long flow, on average
 	// The way from a caller over an instance to a server and back, to a server of
 	// another domain, and the part of it up to the instance.
 	simPath, simCrossPath, simCallerPath = 7 * time.Millisecond, 15 * time.Millisecond, 3 * time.Millisecond
@@ -35,7 +34,8 @@
 	work      time.Duration
 	target    time.Duration
 	deadline  time.Duration
-	size      int // of an answer, in bytes
+	size      int  // of an answer, in bytes
+	costly    bool // its requests do not count as short
 }
 
 // twoClasses are orders and feeds of one service.
@@ -69,7 +69,13 @@
 	// requests.
 	spread func(rnd *rand.Rand) float64
 	sums   sumsConfig
-	choose choosePolicy
+	// policy replaces the placing policy of the instances, unless it is nil.
+	policy  func(sim *loadSim) choosePolicy
+	warmFor time.Duration
+	// sizeKnown is set when the policy knows the work of each request.
+	sizeKnown bool
+	// speedsSeen is set when it knows the speeds of servers from its own answers.
+	speedsSeen bool
 }
 
 // sumsConfig is how instances exchange sums of their load.
@@ -93,13 +99,6 @@
 	return x
 }
 
-// loadSharer is the part of a Balancer that shares its load with others.
-type loadSharer interface {
-	LoadReport(now time.Time) ([]loads.Service, bool)
-	SetSums(now time.Time, s *loads.Sums)
-	LoadTotals(now time.Time) ([]loads.Total, bool)
-}
-
 // loadServer is a simulated backend server.
 type loadServer struct {
 	id        ServerID
@@ -112,8 +111,6 @@
 	coldUntil time.Time
 	busyTime  time.Duration // in the surge
 	maxInWork int
-	// inWork is the expected work in progress, at a server of speed 1.
-	inWork time.Duration
 }
 
 // loadFlow is a flow of a caller.
@@ -131,6 +128,7 @@
 	long                 bool
 	startedAt            time.Time
 	work                 time.Duration
+	short                bool // works less than twice the mean
 	flow                 *loadFlow
 	tally                *tally
 }
@@ -146,14 +144,19 @@
 	backends  map[ServerID]*loadServer
 	idle      [][][]*loadFlow // by domain and class
 	ports     uint32
-	capacity  float64 // mean requests per second
+	capacity  float64   // mean requests per second
+	domainCap []float64 // that of each failure domain
+	meanWork  float64   // of a request, in nanoseconds
 	phase     int
 	loads     []float64 // arrivals per second by domain and class
 	tallies   [phases][][]tally
-	current   *loadRequest     // whose opening is being placed
-	reports   []instanceReport // latest, by instance
-	nextID    ServerID
-	records   []Change[Server]
+	current   *loadRequest // whose opening is being placed
+	// sentWork is the expected work that an instance sent to a server and that is
+	// not answered, in nanoseconds at a server of speed 1, by instance and server.
+	sentWork [][]float64
+	reports  []instanceReport // latest, by instance
+	nextID   ServerID
+	records  []Change[Server]
 }
 
 func newLoadSim(seed uint64, cfg loadConfig) *loadSim {
@@ -162,8 +165,15 @@
 	}
 	sim := &loadSim{loadConfig: cfg, timeline: timeline{now: startTime}, rnd: rand.New(rand.NewPCG(seed, 3)), backends: map[ServerID]*loadServer{}, frozen: make([]bool, cfg.instances), reports: make([]instanceReport, cfg.instances)}
 	sim.startServers()
+	for range cfg.instances {
+		sim.sentWork = append(sim.sentWork, make([]float64, 2*cfg.servers+1))
+	}
+	var choose choosePolicy
+	if cfg.policy != nil {
+		choose = cfg.policy(sim)
+	}
 	for i := range cfg.instances {
-		lb := &Balancer{Domain: domainName(i % cfg.domains), Seed: seed*1000 + uint64(i), choose: cfg.choose}
+		lb := &Balancer{Domain: domainName(i % cfg.domains), Seed: seed*maxSimInstances + uint64(i), choose: choose}
 		lb.Start(sim.now)
 		lb.ApplySettings(sim.settings())
 		lb.ApplyServers(sim.now, sim.records, true)
@@ -178,7 +188,9 @@
 	sim.setLoads(false)
 	for d := range cfg.domains {
 		for c := range cfg.classes {
-			sim.scheduleArrival(d, c)
+			// The same requests arrive whatever is decided about them.
+			rnd := rand.New(rand.NewPCG(seed, uint64(10+d*len(cfg.classes)+c)))
+			sim.scheduleArrival(rnd, d, c)
 		}
 	}
 	if !cfg.sums.off {
@@ -198,9 +210,11 @@
 	for _, c := range sim.classes {
 		work += c.share * c.work.Seconds()
 	}
+	sim.meanWork, sim.domainCap = work*float64(time.Second), make([]float64, sim.domains)
 	for i := range speeds {
 		speed := speeds[i] * float64(len(speeds)) / sum
 		sim.addServer(i%sim.domains, speed, 0)
+		sim.domainCap[i%sim.domains] += simSlots * speed / work
 		sim.capacity += simSlots * speed / work
 	}
 }
@@ -218,7 +232,7 @@
 func (sim *loadSim) settings() *Settings {
 	set := testSettings(1)
 	for i, c := range sim.classes {
-		set.Routes = append(set.Routes, Route{Addr: classAddr(i), WeightedServices: []WeightedService{{"s", 1}}, Repeatable: i > 0, LatencyTarget: c.target})
+		set.Routes = append(set.Routes, Route{Addr: classAddr(i), WeightedServices: []WeightedService{{"s", 1}}, Repeatable: i > 0, LatencyTarget: c.target, Priority: c.priority})
 	}
 	return set
 }
@@ -239,7 +253,7 @@
 			if surge && (!sim.crowded || d == 0) && sim.surges(i) {
 				x = sim.surge
 			}
-			sim.loads = append(sim.loads, x*c.share*sim.capacity/float64(sim.domains))
+			sim.loads = append(sim.loads, x*c.share*sim.domainCap[d])
 		}
 	}
 }
@@ -258,21 +272,22 @@
 
 // scheduleArrival draws the arrivals of a class at the highest rate that the run
 // has, of which a share counts, so that the rate can change at any time.
-func (sim *loadSim) scheduleArrival(d, c int) {
-	highest := max(sim.calm, sim.surge) * sim.classes[c].share * sim.capacity / float64(sim.domains)
-	sim.schedule(time.Duration(sim.rnd.ExpFloat64()/highest*float64(time.Second)), func() {
-		if sim.rnd.Float64()*highest < sim.loads[d*len(sim.classes)+c] {
-			sim.arrive(d, c)
+func (sim *loadSim) scheduleArrival(rnd *rand.Rand, d, c int) {
+	highest := max(sim.calm, sim.surge) * sim.classes[c].share * sim.domainCap[d]
+	sim.schedule(time.Duration(rnd.ExpFloat64()/highest*float64(time.Second)), func() {
+		if rnd.Float64()*highest < sim.loads[d*len(sim.classes)+c] {
+			sim.arrive(rnd, d, c)
 		}
-		sim.scheduleArrival(d, c)
+		sim.scheduleArrival(rnd, d, c)
 	})
 }
 
-func (sim *loadSim) arrive(d, c int) {
+func (sim *loadSim) arrive(rnd *rand.Rand, d, c int) {
 	cl := &sim.classes[c]
+	long, x := rnd.Float64() < cl.longFlows, sim.spread(rnd)
 	req := &loadRequest{
-		class: c, domain: d, startedAt: sim.now.Add(-simCallerPath), long: sim.rnd.Float64() < cl.longFlows,
-		work: time.Duration(float64(cl.work) * sim.spread(sim.rnd)), tally: &sim.tallies[sim.phase][d][c],
+		class: c, domain: d, startedAt: sim.now.Add(-simCallerPath), long: long, short: x < 2 && !cl.costly,
+		work: time.Duration(float64(cl.work) * x), tally: &sim.tallies[sim.phase][d][c],
 	}
 	req.tally.requests++
 	if idle := sim.idle[d][c]; req.long && len(idle) > 0 {
@@ -281,6 +296,7 @@
 		idle[i] = idle[len(idle)-1]
 		sim.idle[d][c] = idle[:len(idle)-1]
 		req.tries = 1
+		sim.begin(req)
 		sim.send(req)
 		return
 	}
@@ -312,14 +328,33 @@
 		return
 	}
 	f.server = sim.backends[v.To.Server]
+	sim.begin(req)
 	path := sim.path(req)
 	if f.server.ended {
+		sim.end(req)
 		sim.tryAgain(req, path)
 		return
 	}
 	sim.schedule(path, func() { sim.send(req) })
 }
 
+// begin and end count the work in progress of the instance of a request's flow.
+func (sim *loadSim) begin(req *loadRequest) {
+	sim.sentWork[req.flow.instance][req.flow.server.id] += sim.expected(req)
+}
+
+func (sim *loadSim) end(req *loadRequest) {
+	sim.sentWork[req.flow.instance][req.flow.server.id] -= sim.expected(req)
+}
+
+// expected returns the work of a request as far as its route shows it.
+func (sim *loadSim) expected(req *loadRequest) float64 {
+	if sim.sizeKnown {
+		return float64(req.work)
+	}
+	return float64(sim.classes[req.class].work)
+}
+
 func (sim *loadSim) path(req *loadRequest) time.Duration {
 	if req.flow.server.domain != req.domain {
 		return simCrossPath
@@ -330,7 +365,7 @@
 // tryAgain sends the request again on a new flow, unless it was the last try.
 func (sim *loadSim) tryAgain(req *loadRequest, after time.Duration) {
 	if req.tries >= simTries || sim.now.Add(after+simRetryDelay).Sub(req.startedAt) > sim.classes[req.class].deadline {
-		req.tally.failed++
+		req.tally.fail(&sim.classes[req.class], req.short)
 		return
 	}
 	sim.schedule(after+simRetryDelay, func() { sim.open(req) })
@@ -347,6 +382,7 @@
 	f.sent += 300
 	if v.Action != Forward || f.server.ended {
 		req.tally.broken++
+		sim.end(req)
 		sim.tryAgain(req, sim.path(req))
 		return
 	}
@@ -354,18 +390,19 @@
 }
 
 func (sim *loadSim) submit(req *loadRequest) {
-	srv := req.flow.server
+	f := req.flow
+	srv := f.server
 	req.tally.attempts++
 	switch {
 	case srv.busy < simSlots:
 		sim.serve(req)
 	case len(srv.queue) < simQueueLength:
 		srv.queue = append(srv.queue, req)
-		srv.inWork += sim.classes[req.class].work
 	default:
 		req.tally.rejected++
 		path := sim.path(req)
-		sim.schedule(path, func() { sim.acknowledge(req, simRejectionSize, true) })
+		sim.end(req)
+		sim.schedule(path, func() { sim.acknowledge(f, simRejectionSize, true) })
 		sim.tryAgain(req, path)
 	}
 	if sim.phase == surging {
@@ -377,8 +414,6 @@
 func (sim *loadSim) serve(req *loadRequest) {
 	srv := req.flow.server
 	srv.busy++
-	expected := sim.classes[req.class].work
-	srv.inWork += expected
 	speed := srv.speed
 	if sim.now.Before(srv.coldUntil) {
 		speed /= coldLatencyFactor
@@ -386,7 +421,6 @@
 	work := time.Duration(float64(req.work) / speed)
 	sim.schedule(work, func() {
 		srv.busy--
-		srv.inWork -= expected
 		if sim.phase == surging {
 			srv.busyTime += work
 		}
@@ -394,7 +428,6 @@
 		if len(srv.queue) > 0 {
 			next := srv.queue[0]
 			srv.queue = srv.queue[1:]
-			srv.inWork -= sim.classes[next.class].work
 			sim.serve(next)
 		}
 	})
@@ -403,11 +436,12 @@
 func (sim *loadSim) answer(req *loadRequest) {
 	path := sim.path(req)
 	latency := sim.now.Add(path / 2).Sub(req.startedAt)
-	req.tally.answered(&sim.classes[req.class], latency)
+	req.tally.answered(&sim.classes[req.class], latency, req.short)
 	f := req.flow
 	last := !f.long || f.server.draining || sim.rnd.IntN(simLongFlow) == 0
 	sim.schedule(path, func() {
-		sim.acknowledge(req, sim.classes[req.class].size, last)
+		sim.end(req)
+		sim.acknowledge(f, sim.classes[req.class].size, last)
 		if !last {
 			sim.idle[req.domain][req.class] = append(sim.idle[req.domain][req.class], f)
 		}
@@ -416,8 +450,7 @@
 
 // acknowledge sends the caller's acknowledgements of an answer, of which each
 // covers two packets.
-func (sim *loadSim) acknowledge(req *loadRequest, size int, last bool) {
-	f := req.flow
+func (sim *loadSim) acknowledge(f *loadFlow, size int, last bool) {
 	for size > 0 {
 		f.received += min(size, 2400)
 		size -= min(size, 2400)
