router: surges exchange load through the ledger and its datagrams

The simulation summed reports itself, all at once each 200 ms. Instances now report at their own intervals to the ledger of their failure domain, through the codec, with lost, late and repeated datagrams.

--- a/pkg/router/load_result_test.go
+++ b/pkg/router/load_result_test.go
@@ -109,6 +109,16 @@
 	return got / all
 }
 
+// utilization returns the share of the time of the slots that was spent on requests
+// in the surge.
+func (sim *loadSim) utilization() float64 {
+	var busy time.Duration
+	for _, srv := range sim.backends {
+		busy += srv.busyTime
+	}
+	return busy.Seconds() / (float64(sim.servers) * simSlots * sim.surgeFor.Seconds())
+}
+
 // maxUtilization returns the time that the busiest server was busy in the surge
 // over the mean, and inWork the most requests that a server had.
 func (sim *loadSim) maxUtilization() (ratio float64, inWork int) {
@@ -137,7 +147,7 @@
 		fmt.Fprintf(&b, " %.3f", sim.worth(surging, d))
 	}
 	all := sim.sum(surging, -1, -1)
-	fmt.Fprintf(&b, " | rejected %d of %d, refused %d, broken %d | max/mean %.2f, most in progress %d | after %.3f then %.3f calm %.3f",
-		all.rejected, all.attempts, all.refused, all.broken, ratio, inWork, sim.worth(recovering, -1), sim.worth(recovered, -1), sim.worth(calm, -1))
+	fmt.Fprintf(&b, " | rejected %d of %d, refused %d, broken %d | utilization %.2f max/mean %.2f, most in progress %d | after %.3f then %.3f calm %.3f",
+		all.rejected, all.attempts, all.refused, all.broken, sim.utilization(), ratio, inWork, sim.worth(recovering, -1), sim.worth(recovered, -1), sim.worth(calm, -1))
 	return b.String()
 }
--- a/pkg/router/load_sim_test.go
+++ b/pkg/router/load_sim_test.go
@@ -21,8 +21,6 @@
 	// another domain, and the part of it up to the instance.
 	simPath, simCrossPath, simCallerPath = 7 * time.Millisecond, 15 * time.Millisecond, 3 * time.Millisecond
 	simRejectionSize                     = 150
-	sumsInterval                         = 200 * time.Millisecond
-	sumsMaxAge                           = time.Second
 )
 
 // loadClass is a route with its part of the requests.
@@ -81,9 +79,9 @@
 // sumsConfig is how instances exchange sums of their load.
 type sumsConfig struct {
 	off   bool
-	delay time.Duration
-	lost  float64 // share of the sums that do not arrive
-	twice bool    // reports and sums arrive twice
+	delay time.Duration // of each datagram
+	lost  float64       // share of the datagrams that do not arrive
+	twice bool          // they arrive twice
 	// frozen is the number of instances of each domain that stop at the start of
 	// the surge, without a packet or report from then on.
 	frozen int
@@ -153,17 +151,17 @@
 	current   *loadRequest // whose opening is being placed
 	// sentWork is the expected work that an instance sent to a server and that is
 	// not answered, in nanoseconds at a server of speed 1, by instance and server.
-	sentWork [][]float64
-	reports  []instanceReport // latest, by instance
-	nextID   ServerID
-	records  []Change[Server]
+	sentWork    [][]float64
+	aggregators []*aggregator // by failure domain
+	nextID      ServerID
+	records     []Change[Server]
 }
 
 func newLoadSim(seed uint64, cfg loadConfig) *loadSim {
 	if cfg.spread == nil {
 		cfg.spread = lookalike
 	}
-	sim := &loadSim{loadConfig: cfg, timeline: timeline{now: startTime}, rnd: rand.New(rand.NewPCG(seed, 3)), backends: map[ServerID]*loadServer{}, frozen: make([]bool, cfg.instances), reports: make([]instanceReport, cfg.instances)}
+	sim := &loadSim{loadConfig: cfg, timeline: timeline{now: startTime}, rnd: rand.New(rand.NewPCG(seed, 3)), backends: map[ServerID]*loadServer{}, frozen: make([]bool, cfg.instances)}
 	sim.startServers()
 	for range cfg.instances {
 		sim.sentWork = append(sim.sentWork, make([]float64, 2*cfg.servers+1))
@@ -194,7 +192,7 @@
 		}
 	}
 	if !cfg.sums.off {
-		sim.schedule(sumsInterval, sim.exchange)
+		sim.startExchange()
 	}
 	return sim
 }
