--- a/pkg/router/load_cost_test.go
+++ b/pkg/router/load_cost_test.go
@@ -256,6 +256,7 @@
 var costPolicies = []namedPolicy{
 	{"today", nil},
 	{"fair, sums 50 ms", fairShared(50 * time.Millisecond)},
+	{"fair, sums 100 ms", fairShared(100 * time.Millisecond)},
 	{"fair, sums 200 ms", fairShared(200 * time.Millisecond)},
 	{"least, sums 50 ms", leastWork(50 * time.Millisecond)},
 	{"least, sums 100 ms", leastWork(100 * time.Millisecond)},
