--- a/pkg/router/load_bounds_test.go
+++ b/pkg/router/load_bounds_test.go
@@ -75,6 +75,17 @@
 	assertSurge(t, surgeOf(1, 2), 1)
 }
 
+// Guards against a step down in goodput when admission comes into force: at the
+// capacity, callers get no less than without it.
+func TestNoStepInGoodput(t *testing.T) {
+	cfg := surgeOf(0, 1)
+	sim := newLoadSim(1, cfg).play()
+	cfg.sums.off = true
+	without := newLoadSim(1, cfg).play()
+	assert.Check(t, sim.worth(surging, -1) >= without.worth(surging, -1), "%v\nwithout admission: %v", sim, without)
+	assertRecovered(t, sim)
+}
+
 // Guards against servers that get more flows than they hold, by instances that each
 // see a part of them.
 func TestFlowLimitInSurge(t *testing.T) {
