--- a/pkg/router/load_exchange_test.go
+++ b/pkg/router/load_exchange_test.go
@@ -98,14 +98,14 @@
 func (sim *loadSim) addUp(a *aggregator) []byte {
 	if sim.now.Sub(a.sumsAt) >= sumsLifetime {
 		s := a.ledger.Sums(sim.now, a.pressed)
-		a.sums, a.sumsAt, a.reports = must(load.EncodeSums(&s)), sim.now, s.Reports
+		a.sums, a.sumsAt, a.reports = must(load.EncodeAnswer(&load.Answer{Sums: &s})), sim.now, s.Reports
 	}
 	return a.sums
 }
 
 func (sim *loadSim) setSums(i int, b []byte) {
 	if !sim.frozen[i] {
-		sim.balancers[i].SetSums(sim.now, must(load.DecodeSums(b)))
+		sim.balancers[i].SetSums(sim.now, must(load.DecodeAnswer(b)).Sums)
 	}
 }
 
