--- a/pkg/admit/admit.go
+++ b/pkg/admit/admit.go
@@ -41,7 +41,7 @@
 	// servers have less room than the latency target allows. Each update then
 	// lowers the bearable wait by roomStep, to minRoom at least, and raises it
 	// again by roomGain otherwise.
-	rejectedShare = 0.05
+	rejectedShare = 0.1
 	roomStep      = 0.97
 	roomGain      = 0.03
 	minRoom       = 0.3
--- a/pkg/load/ledger.go
+++ b/pkg/load/ledger.go
@@ -28,7 +28,7 @@
 	// BaseInterval is the interval of reports, pressedInterval that while much is
 	// in progress. Both are longer in a large domain, by intervalPerInstance.
 	BaseInterval        = 500 * time.Millisecond
-	pressedInterval     = 200 * time.Millisecond
+	pressedInterval     = 100 * time.Millisecond
 	intervalPerInstance = 2 * time.Millisecond
 )
 
--- a/pkg/router/place.go
+++ b/pkg/router/place.go
@@ -20,6 +20,8 @@
 	meansAt       time.Time
 	// pressed is set while a plan of admission is in force.
 	pressed bool
+	// loaded is set while servers are chosen by what all instances have in progress.
+	loaded bool
 }
 
 func compareNames(a, b *server) int { return cmp.Compare(a.name, b.name) }
@@ -80,7 +82,7 @@
 	failureLatencyFactor = 2 * goodEnoughRatio
 )
 
-// place chooses the server of a new flow by fairServer. Servers of the local
+// place chooses the server of a new flow. Servers of the local
 // failure domain are preferred until they are too slow for the latency target.
 // failed is the server that did not answer an earlier copy of the opening, or
 // nil; it comes last.
--- a/pkg/router/sums.go
+++ b/pkg/router/sums.go
@@ -101,11 +101,8 @@
 	}
 }
 
-// nearPressed is the share of busy slots from which on sums are exchanged more often.
-const nearPressed = 0.8
-
 // LoadTotals returns the load of each service in this failure domain, for other
-// failure domains, and whether one of them is pressed or soon may be.
+// failure domains, and whether one of them is loaded.
 func (lb *Balancer) LoadTotals(now time.Time) (totals []load.Total, pressed bool) {
 	if !lb.sumsFresh(now) {
 		return nil, false
@@ -114,7 +111,7 @@
 		s := &lb.admission.sums.Services[i]
 		t := lb.total(s)
 		totals = append(totals, t)
-		if a := lb.admission.services[s.Name]; a != nil && (a.inForce || t.Slots > 0 && t.Busy >= nearPressed*t.Slots) {
+		if a := lb.admission.services[s.Name]; a != nil && (a.inForce || t.Slots > 0 && t.Busy >= idleShare*t.Slots) {
 			pressed = true
 		}
 	}
@@ -156,6 +153,9 @@
 		}
 		lb.setPlan(name, a, admit.Plan{}, false)
 	}
+	for _, p := range lb.pools {
+		p.loaded = false
+	}
 	for _, srv := range lb.byName {
 		srv.load.shared = sharedLoad{}
 	}
@@ -170,6 +170,7 @@
 			continue
 		}
 		own := admit.Domain{Total: lb.total(s)}
+		lb.setLoaded(s.Name, &own.Total)
 		for _, srv := range s.Servers {
 			own.Flows += float64(srv.Flows)
 		}
@@ -204,6 +205,19 @@
 	}
 }
 
+// setLoaded records whether servers of a service are chosen by the sums.
+func (lb *Balancer) setLoaded(name string, t *load.Total) {
+	p := lb.pools[name]
+	if p == nil {
+		return
+	}
+	least := loadedShare * t.Slots
+	if p.loaded {
+		least = idleShare * t.Slots
+	}
+	p.loaded = t.Slots > 0 && t.Busy >= least && lb.admission.sums.Reports >= minSharedInstances
+}
+
 // reachable reports whether servers of a failure domain may get new flows.
 func (lb *Balancer) reachable(domain string) bool {
 	_, excluded := lb.marks.excluded[domain]
