--- a/pkg/router/work.go
+++ b/pkg/router/work.go
@@ -23,7 +23,7 @@
 // chooseServer chooses a server by the work that all instances have in progress while
 // the service is loaded, and by equal work otherwise.
 func (lb *Balancer) chooseServer(now time.Time, p *pool, candidates []*server, failed *server) (*server, time.Duration) {
-	if p.loaded && len(candidates) > 0 && candidates[0].Domain == lb.Domain {
+	if p.loaded && !p.pressed && len(candidates) > 0 && candidates[0].Domain == lb.Domain {
 		if best, latency := lb.leastLoaded(now, p, candidates, failed); best != nil {
 			return best, latency
 		}
