--- a/pkg/relay/sums.go
+++ b/pkg/relay/sums.go
@@ -28,7 +28,7 @@
 	idleTotalsInterval = time.Second
 	// sumsLifetime is how old the sums in an answer may be. Adding up costs more
 	// than answering.
-	sumsLifetime = 100 * time.Millisecond
+	sumsLifetime = 30 * time.Millisecond
 	// dropLineInterval is the shortest time between two log lines about datagrams
 	// that were dropped for the same reason.
 	dropLineInterval = time.Second
--- a/pkg/router/admission.go
+++ b/pkg/router/admission.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"math/bits"
 	"time"
 
 	"ebonypaddle/pkg/admit"
@@ -16,13 +15,11 @@
 	sums     *load.Sums // nil without fresh ones
 	sumsAt   time.Time
 	remote   []*server // reused by placeIn
-	first    bool      // the flow that is being placed is of the highest class of its service
 }
 
 // serviceAdmission is the admission of one service.
 type serviceAdmission struct {
 	target   time.Duration // lowest latency target of its routes
-	highest  int           // highest class of its routes
 	maxFlows int           // open flows that a server holds, 0 for no limit
 	planner  admit.Service
 	plan     admit.Plan
@@ -56,7 +53,7 @@
 		if sa == nil {
 			sa = &serviceAdmission{}
 		}
-		sa.target, sa.maxFlows, sa.highest = targets[v.Name], v.MaxFlows, bits.TrailingZeros(uint(classes[v.Name]))
+		sa.target, sa.maxFlows = targets[v.Name], v.MaxFlows
 		a.services[v.Name] = sa
 	}
 }
@@ -78,7 +75,6 @@
 	if sa == nil || !sa.inForce || p.Retransmissions > 0 {
 		return lb.place(now, service, rt.LatencyTarget, failed)
 	}
-	lb.admission.first = class == sa.highest
 	draw := lb.rnd.Float64()
 	if draw < sa.plan.Admit[class] {
 		if srv, reason := lb.placeIn(now, service, lb.Domain, failed); srv != nil {
--- a/pkg/router/balancer.go
+++ b/pkg/router/balancer.go
@@ -111,7 +111,7 @@
 		lb.Limits = DefaultLimits
 	}
 	if lb.choose == nil {
-		lb.choose = (*Balancer).chooseServer
+		lb.choose = (*Balancer).fairServer
 	}
 	lb.marks.start()
 	lb.byName = map[string]*server{}
--- a/pkg/router/place.go
+++ b/pkg/router/place.go
@@ -22,6 +22,9 @@
 	pressed bool
 	// loaded is set while servers are chosen by what all instances have in progress.
 	loaded bool
+	// openedPerServer is the rate of flows that all instances of the failure domain
+	// open at each server.
+	openedPerServer float64
 }
 
 func compareNames(a, b *server) int { return cmp.Compare(a.name, b.name) }
--- a/pkg/router/share.go
+++ b/pkg/router/share.go
@@ -55,7 +55,7 @@
 			lowest = e
 		}
 	}
-	unit := float64(p.meanWork(now))
+	unit, shared := float64(p.meanWork(now)), lb.sharedWeight(now, p)
 	var best *server
 	bestScore, leastWork := math.Inf(1), math.Inf(1)
 	for _, c := range lb.estimates {
@@ -65,6 +65,9 @@
 		work := max(c.server.load.sentWork, p.virtualWork)
 		leastWork = min(leastWork, work)
 		score := work + lb.estimateWait(now, p, c.server) + shareJitter*unit*lb.rnd.Float64()
+		if shared > 0 {
+			score += shared * lb.sharedWait(now, p, c.server)
+		}
 		if now.Sub(c.server.health.answeredAt) < freshAnswerAge {
 			score -= freshWorkLead * unit / c.server.slots()
 		}
--- a/pkg/router/sums.go
+++ b/pkg/router/sums.go
@@ -215,6 +215,10 @@
 	if p.loaded {
 		least = idleShare * t.Slots
 	}
+	p.openedPerServer = 0
+	for _, rate := range t.Demand.Offered {
+		p.openedPerServer += rate / float64(max(len(p.local), 1))
+	}
 	p.loaded = t.Slots > 0 && t.Busy >= least && lb.admission.sums.Reports >= minSharedInstances
 }
 
