--- a/pkg/router/work.go
+++ b/pkg/router/work.go
@@ -17,7 +17,7 @@
 // servers, so the more flows all of them open until the next sums, the less each one may
 // be led by them.
 func (lb *Balancer) sharedWeight(now time.Time, p *pool) float64 {
-	if !p.loaded || p.pressed {
+	if !p.loaded {
 		return 0
 	}
 	age := now.Sub(lb.admission.sumsAt) + lb.admission.sums.Interval
