--- a/pkg/admit/admit.go
+++ b/pkg/admit/admit.go
@@ -34,6 +34,9 @@
 	// measured one, which counts the path of requests as work while slots are free.
 	trimGain = 0.06
 	maxTrim  = 0.3
+	// roomFollow is the part of a change of another failure domain's room that an update
+	// takes over.
+	roomFollow = 0.3
 	// leastShare is the share of the capacity that lower classes together get
 	// whatever the higher ones ask for, so that they do not starve.
 	leastShare = 0.02
@@ -82,6 +85,8 @@
 	shrunk float64
 	// trim is the part by which the capacity is above the measured one.
 	trim float64
+	// rooms are those of other failure domains.
+	rooms map[string]float64
 }
 
 // Pressed reports whether the plan is in force. Otherwise all flows are admitted.
@@ -91,6 +96,7 @@
 type domainState struct {
 	*Domain
 	capacity float64 // requests a second
+	excess   float64 // by how much the capacity is lower for all but the highest class
 	room     float64 // capacity without what is admitted there, below 0 for an excess
 	pressed  bool    // otherwise it admits all of its own callers
 }
@@ -103,24 +109,24 @@
 	bearable := s.bearable(target, work, &own)
 	s.setPressed(now, bearable, &own)
 	if !s.pressed {
-		s.trim, s.refuses = 0, false
+		s.trim, s.refuses, s.rooms = 0, false, nil
 		return Plan{}, false
 	}
 	perFlow := requestsPerFlow(&own)
 	states := make([]domainState, 0, len(others)+1)
 	s.updateTrim(bearable, &own)
-	states = append(states, domainState{Domain: &own, capacity: (1 + s.trim) * capacity(&own, work, bearable), pressed: true})
+	states = append(states, s.state(&own, work, bearable, true))
 	for i := range others {
 		d := others[i]
 		bearable := bearablePerSlot(target, work) * d.Slots
-		states = append(states, domainState{Domain: &d, capacity: (1 + s.trim) * capacity(&d, work, bearable), pressed: d.InProgress >= bearable})
+		states = append(states, s.state(&d, work, bearable, d.InProgress >= bearable))
 	}
 	for i := range states {
 		for c := range load.Classes {
 			states[i].Demand.Offered[c] *= perFlow[c]
 		}
 	}
-	p := plan(states)
+	p := s.plan(states)
 	s.refuses = false
 	for c, share := range p.Admit {
 		s.refuses = s.refuses || share < 1 && own.Demand.Offered[c] > 0
@@ -201,23 +207,30 @@
 	}
 }
 
-// capacity returns the rate of requests that a failure domain answers, corrected so
-// that the requests in progress come to the bearable number.
-func capacity(d *Domain, work, bearable float64) float64 {
+// state returns what the decision needs of a failure domain. The capacity is the rate
+// of requests that it answers, and what brings the requests in progress to the bearable
+// number. If they are above it, that takes nothing from the highest class, which they
+// are not of as long as it fits.
+func (s *Service) state(d *Domain, work, bearable float64, pressed bool) domainState {
+	st := domainState{Domain: d, pressed: pressed}
 	if work <= 0 || d.Slots <= 0 {
-		return 0
+		return st
 	}
 	if done := d.Demand.Done - d.Demand.Rejected; done > 0 && d.Busy > d.Slots/2 {
 		work = d.Busy / done
 	}
-	return max(d.Slots/work+(bearable-d.InProgress-d.ReceivedInProgress)/settleTime.Seconds(), 0)
+	off := (bearable - d.InProgress - d.ReceivedInProgress) / settleTime.Seconds()
+	st.capacity = (1+s.trim)*d.Slots/work + max(off, 0)
+	st.excess = max(-off, 0)
+	return st
 }
 
 // shares returns the shares of new flows by class that fit into a capacity, the higher
-// classes first, and how much of it is taken. Requests on open flows cannot be
+// classes first, and how much of it is taken. excess lowers it for all but the highest
+// class that callers ask for. Requests on open flows cannot be
 // refused; those of lower classes do not take room from higher ones.
-func shares(capacity float64, most [load.Classes]float64, d *load.Demand) (out [load.Classes]float64, admitted, begun float64) {
-	left := capacity
+func shares(capacity, excess float64, most [load.Classes]float64, d *load.Demand) (out [load.Classes]float64, admitted, begun float64) {
+	left, highest := capacity, true
 	for c := range load.Classes {
 		left -= d.Begun[c]
 		begun += d.Begun[c]
@@ -231,26 +244,46 @@
 		}
 		left -= out[c] * d.Offered[c]
 		admitted += out[c] * d.Offered[c]
+		if highest && d.Offered[c]+d.Begun[c] > 0 {
+			highest = false
+			left -= excess
+		}
 	}
 	return out, admitted, begun
 }
 
+// smoothRoom returns the room of another failure domain, which follows its totals
+// slowly: they are older than the sums, and flows to it are not in them at once.
+func (s *Service) smoothRoom(st *domainState) float64 {
+	if s.rooms == nil {
+		s.rooms = map[string]float64{}
+	}
+	room, ok := s.rooms[st.Domain.Domain]
+	if !ok {
+		room = st.room
+	}
+	room += (st.room - room) * roomFollow
+	s.rooms[st.Domain.Domain] = room
+	return room
+}
+
 // plan shares the capacity of all failure domains out by class, so that callers of one
 // class are admitted alike wherever they are. The first domain is the own one; what it
 // has no room for goes to those that have, in proportion to their room.
-func plan(states []domainState) Plan {
+func (s *Service) plan(states []domainState) Plan {
 	var demand load.Demand
-	total := 0.0
+	total, excess := 0.0, 0.0
 	for i := range states {
 		total += states[i].capacity
+		excess += states[i].excess
 		demand.Add(&states[i].Demand)
 	}
 	all := [load.Classes]float64{1, 1, 1, 1}
-	share, _, _ := shares(total, all, &demand)
+	share, _, _ := shares(total, excess, all, &demand)
 	rooms, excesses := 0.0, 0.0
 	for i := range states {
 		st := &states[i]
-		st.room = st.capacity
+		st.room = st.capacity - st.excess
 		for c := range load.Classes {
 			admitted := st.Demand.Offered[c]
 			if st.pressed {
@@ -258,6 +291,9 @@
 			}
 			st.room -= st.Demand.Begun[c] + admitted
 		}
+		if i > 0 {
+			st.room = s.smoothRoom(st)
+		}
 		rooms += max(st.room, 0)
 		excesses += max(-st.room, 0)
 	}
@@ -266,8 +302,8 @@
 	if own.room < 0 {
 		elsewhere = min(-own.room, rooms*-own.room/excesses)
 	}
-	share, admitted, begun := shares(own.capacity+elsewhere, share, &own.Demand)
-	away := min(max(admitted+begun-own.capacity, 0), elsewhere, admitted)
+	share, admitted, begun := shares(own.capacity+elsewhere, own.excess, share, &own.Demand)
+	away := min(max(admitted+begun-own.capacity+own.excess, 0), elsewhere, admitted)
 	p := Plan{Admit: share}
 	if away <= 0 {
 		return p
--- a/pkg/router/place.go
+++ b/pkg/router/place.go
@@ -127,7 +127,7 @@
 
 // healthy reports whether a server may get a new flow while others can, too.
 func (lb *Balancer) healthy(now time.Time, srv *server) bool {
-	return lb.usable(srv) && !srv.health.suspected(now) && !lb.domain(srv.Domain).unreachable && now.Sub(srv.addedAt) >= lb.Limits.NewServerDelay && !srv.load.shared.full && !lb.coldLimited(now, srv)
+	return lb.usable(srv) && !srv.health.suspected(now) && !lb.domain(srv.Domain).unreachable && now.Sub(srv.addedAt) >= lb.Limits.NewServerDelay && !srv.load.full() && !lb.coldLimited(now, srv)
 }
 
 // choosePolicy chooses one of the healthy candidates, and returns it with the
--- a/pkg/router/sums.go
+++ b/pkg/router/sums.go
@@ -18,9 +18,19 @@
 type sharedLoad struct {
 	others   int // requests in progress of other instances
 	reported int // own requests in progress at the last report
-	// full is set while the server holds as many flows of all instances as its
-	// service allows.
-	full bool
+	// flows are the open flows of other instances, and growth is by how many all
+	// instances added since the sums before. limit is the number that the server
+	// holds, 0 for no limit.
+	flows, growth, limit int
+	flowsReported        int // own open flows at the last report
+	flowsTotal           int // of all instances
+}
+
+// full reports whether a server holds as many flows of all instances as its service
+// allows, or will before the next sums.
+func (l *serverLoad) full() bool {
+	sh := &l.shared
+	return sh.limit > 0 && sh.flows+sh.growth+l.flows+l.pendingOpenings >= sh.limit
 }
 
 // LoadReport returns what this instance has in progress, for the sums of its failure
@@ -53,7 +63,7 @@
 	}
 	for _, srv := range p.local {
 		l := &srv.load
-		l.shared.reported = l.active
+		l.shared.reported, l.shared.flowsReported = l.active, l.flows
 		if l.active > 0 || l.flows > 0 {
 			s.Servers = append(s.Servers, load.Server{ID: uint64(srv.ID), InProgress: uint32(max(l.active, 0)), Flows: uint32(max(l.flows, 0))})
 		}
@@ -93,11 +103,14 @@
 	}
 	for _, srv := range p.local {
 		sh := &srv.load.shared
-		sh.others, sh.full = 0, false
-		if sum := byID[uint64(srv.ID)]; sum != nil {
-			sh.others = max(int(sum.InProgress)-sh.reported, 0)
-			sh.full = a.maxFlows > 0 && int(sum.Flows) >= a.maxFlows
+		sum := byID[uint64(srv.ID)]
+		if sum == nil {
+			sum = &load.Server{}
 		}
+		sh.others = max(int(sum.InProgress)-sh.reported, 0)
+		sh.flows = max(int(sum.Flows)-sh.flowsReported, 0)
+		sh.growth = max(int(sum.Flows)-sh.flowsTotal, 0)
+		sh.flowsTotal, sh.limit = int(sum.Flows), a.maxFlows
 	}
 }
 
