--- a/pkg/router/admission.go
+++ b/pkg/router/admission.go
@@ -15,6 +15,7 @@
 	sums     *load.Sums // nil without fresh ones
 	sumsAt   time.Time
 	remote   []*server // reused by placeIn
+	class    int       // of the flow that is being placed
 }
 
 // serviceAdmission is the admission of one service.
@@ -68,6 +69,7 @@
 // decides as place does.
 func (lb *Balancer) placeAdmitted(now time.Time, p *Packet, rt *Route, service string, failed *server) (*server, wire.Reason) {
 	class := load.Class(rt.Priority)
+	lb.admission.class = class
 	if p.Retransmissions == 0 {
 		lb.demand.service(service).offered[class].Add(now, 1)
 	}
--- a/pkg/router/place.go
+++ b/pkg/router/place.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"ebonypaddle/pkg/load"
 	"ebonypaddle/pkg/wire"
 )
 
@@ -23,8 +24,8 @@
 	// loaded is set while servers are chosen by what all instances have in progress.
 	loaded bool
 	// openedPerServer is the rate of flows that all instances of the failure domain
-	// open at each server.
-	openedPerServer float64
+	// open at each server, by class with the higher classes.
+	openedPerServer [load.Classes]float64
 }
 
 func compareNames(a, b *server) int { return cmp.Compare(a.name, b.name) }
--- a/pkg/router/sums.go
+++ b/pkg/router/sums.go
@@ -228,9 +228,10 @@
 	if p.loaded {
 		least = idleShare * t.Slots
 	}
-	p.openedPerServer = 0
-	for _, rate := range t.Demand.Offered {
-		p.openedPerServer += rate / float64(max(len(p.local), 1))
+	sum := 0.0
+	for c, rate := range t.Demand.Offered {
+		sum += rate / float64(max(len(p.local), 1))
+		p.openedPerServer[c] = sum
 	}
 	p.loaded = t.Slots > 0 && t.Busy >= least && lb.admission.sums.Reports >= minSharedInstances
 }
--- a/pkg/router/work.go
+++ b/pkg/router/work.go
@@ -15,13 +15,13 @@
 // sharedWeight returns the weight of what other instances have in progress at the
 // servers of a loaded service, from 0 to 1. Instances with the same sums choose the same
 // servers, so the more flows all of them open until the next sums, the less each one may
-// be led by them.
+// be led by them. Those of lower classes do not count: a higher class is a small part.
 func (lb *Balancer) sharedWeight(now time.Time, p *pool) float64 {
 	if !p.loaded {
 		return 0
 	}
 	age := now.Sub(lb.admission.sumsAt) + lb.admission.sums.Interval
-	return 1 / (1 + p.openedPerServer*age.Seconds())
+	return 1 / (1 + p.openedPerServer[lb.admission.class]*age.Seconds())
 }
 
 // sharedWait returns the time in nanoseconds that a request sent now waits for those
