--- a/pkg/router/admission.go
+++ b/pkg/router/admission.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"ebonypaddle/pkg/admit"
+	"ebonypaddle/pkg/cost"
 	"ebonypaddle/pkg/load"
 	"ebonypaddle/pkg/wire"
 )
@@ -23,6 +24,7 @@
 	target   time.Duration // lowest latency target of its routes
 	maxFlows int           // open flows that a server holds, 0 for no limit
 	planner  admit.Service
+	costs    cost.Model
 	plan     admit.Plan
 	inForce  bool
 }
@@ -53,6 +55,7 @@
 		sa := before[v.Name]
 		if sa == nil {
 			sa = &serviceAdmission{}
+			sa.costs.Start()
 		}
 		sa.target, sa.maxFlows = targets[v.Name], v.MaxFlows
 		a.services[v.Name] = sa
@@ -71,7 +74,7 @@
 	class := load.Class(rt.Priority)
 	lb.admission.class = class
 	if p.Retransmissions == 0 {
-		lb.demand.service(service).offered[class].Add(now, 1)
+		lb.demand.service(service).offered[class].Add(now, lb.relativeCost(service, cost.Key{Route: p.Service, Bucket: rt.bucket}))
 	}
 	sa := lb.admission.services[service]
 	if sa == nil || !sa.inForce || p.Retransmissions > 0 {
--- a/pkg/router/demand.go
+++ b/pkg/router/demand.go
@@ -59,16 +59,16 @@
 	return s
 }
 
-// begun counts a request that begins on an open flow. The first one of a flow was
-// counted with its opening.
-func (d *demand) begun(now time.Time, p *Packet, f *flow, rt *Route) {
+// begun counts a request that begins on an open flow, by its cost in mean requests. The
+// first one of a flow was counted with its opening.
+func (d *demand) begun(now time.Time, f *flow, rt *Route, cost float64) {
 	if rt == nil {
 		return
 	}
 	s := d.service(f.server.Service)
 	f.class = uint8(load.Class(rt.Priority))
 	if f.adopted || f.requests > 0 {
-		s.begun[f.class].Add(now, 1)
+		s.begun[f.class].Add(now, cost)
 	}
 	if !f.adopted {
 		d.moved = max(d.moved-1, 0)
@@ -92,10 +92,10 @@
 	r.Add(now, 1)
 }
 
-// answered counts an answer that has begun.
-func (d *demand) answered(now time.Time, srv *server, f *flow) {
-	f.answered = true
-	d.service(srv.Service).done.Add(now, 1)
+// answered counts an answer that has begun, by the cost of its request.
+func (d *demand) answered(now time.Time, srv *server, f *flow, cost float64) {
+	f.answered, f.cost = true, cost
+	d.service(srv.Service).done.Add(now, cost)
 }
 
 // ended handles the end of a flow by its caller.
@@ -109,7 +109,7 @@
 // rejection if it looks like one.
 func (d *demand) answerEnded(now time.Time, f *flow, rt *Route) {
 	if f.answered && rt.shortAnswer(float64(f.acked-f.answerFrom)) {
-		d.service(f.server.Service).rejected.Add(now, 1)
+		d.service(f.server.Service).rejected.Add(now, f.cost)
 	}
 	f.answered = false
 }
--- a/pkg/router/flow.go
+++ b/pkg/router/flow.go
@@ -59,9 +59,12 @@
 	// class is the priority class of the route, answerFrom the first sequence number
 	// of the answer to the latest request, answered whether that answer has begun.
 	class      uint8
-	requests   int // that began here
+	bucket     uint8 // of the length of the latest request's first data, see costKey
+	free       bool  // the latest request found a free slot
+	requests   int   // that began here
 	answerFrom uint32
 	answered   bool
+	cost       float64 // of that request, in mean requests of its service
 }
 
 // defaultIdleTimeout is the time without packets after which the state of a
@@ -157,8 +160,9 @@
 		srv.ackedAt = now
 		if !f.requestStartedAt.IsZero() {
 			lb.AnswerTime.Record(now.Sub(f.requestStartedAt))
+			lb.observeCost(now, p, f)
 			srv.load.requestDone(now, f)
-			lb.demand.answered(now, srv, f)
+			lb.demand.answered(now, srv, f, lb.relativeCost(srv.Service, costKey(p, f)))
 		}
 	}
 	if p.Size > 0 {
@@ -184,10 +188,13 @@
 	case seqAfter(end, f.seq):
 		f.seq = end
 		if f.requestStartedAt.IsZero() {
-			lb.demand.begun(now, p, f, lb.routes[p.Service])
+			rt := lb.routes[p.Service]
+			lb.beginCost(now, p, f, rt)
+			relative := lb.relativeCost(f.server.Service, costKey(p, f))
+			lb.demand.begun(now, f, rt, relative)
 			f.requestStartedAt = now
 			f.server.load.Begin(now)
-			lb.recordWork(now, f.server)
+			lb.recordWork(now, f.server, relative)
 		}
 	case end == f.seq && now.Sub(f.dataSentAt) >= minRetransmissionGap:
 		f.retransmissions++
--- a/pkg/router/records.go
+++ b/pkg/router/records.go
@@ -53,6 +53,7 @@
 	Priority int
 
 	answerSize float64 // usual length of an answer in bytes
+	bucket     uint8   // of the length of the latest request's first data
 }
 
 // Service holds the settings that apply to all servers of a service.
--- a/pkg/router/route.go
+++ b/pkg/router/route.go
@@ -18,7 +18,7 @@
 	for i := range newSettings.Routes {
 		rt := &newSettings.Routes[i]
 		if old := lb.routes[rt.Addr]; old != nil {
-			rt.answerSize = old.answerSize
+			rt.answerSize, rt.bucket = old.answerSize, old.bucket
 		}
 		routes[rt.Addr] = rt
 	}
--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -182,6 +182,9 @@
 	if lb.expired[srv.Addr] == srv {
 		delete(lb.expired, srv.Addr)
 	}
+	if sa := lb.admission.services[srv.Service]; sa != nil {
+		sa.costs.Forget(uint64(srv.ID))
+	}
 	for _, token := range lb.tokens.release(srv) {
 		lb.removedTokens.add(token)
 	}
--- a/pkg/router/share.go
+++ b/pkg/router/share.go
@@ -87,13 +87,17 @@
 	return lb.waiting(now, p, srv) * float64(lb.baseLatency(now, p, srv))
 }
 
-// recordWork adds the work of a new request to that of a server.
-func (lb *Balancer) recordWork(now time.Time, srv *server) {
+// recordWork adds the work of a new request to that of a server. relative is its cost in
+// mean requests, which counts while the service is loaded.
+func (lb *Balancer) recordWork(now time.Time, srv *server, relative float64) {
 	p := lb.pool(srv.Service)
 	work := float64(srv.load.estimateWork(p.meanWork(now))) / srv.slots()
 	if now.Before(srv.coldUntil) {
 		work *= coldLatencyFactor
 	}
+	if p.loaded {
+		work *= relative
+	}
 	srv.load.sentWork = min(max(srv.load.sentWork, p.virtualWork)+work, p.virtualWork+maxWorkLead*work)
 }
 
--- a/pkg/router/sums.go
+++ b/pkg/router/sums.go
@@ -56,6 +56,7 @@
 	for c := range load.Classes {
 		s.Demand.Offered[c], s.Demand.Begun[c] = d.offered[c].PerSecond(now), d.begun[c].PerSecond(now)
 	}
+	s.Costs = lb.admission.services[name].costs.Costs(reportedCosts)
 	s.Demand.Done, s.Demand.Rejected = d.done.PerSecond(now), d.rejected.PerSecond(now)
 	p := lb.pools[name]
 	if p == nil {
@@ -86,7 +87,11 @@
 func (lb *Balancer) SetSums(now time.Time, sums *load.Sums) {
 	lb.admission.sumsAt, lb.admission.sums = now, sums
 	for i := range sums.Services {
-		lb.applyServerSums(&sums.Services[i])
+		s := &sums.Services[i]
+		if sa := lb.admission.services[s.Name]; sa != nil {
+			sa.costs.Merge(now, s.Costs)
+		}
+		lb.applyServerSums(s)
 	}
 	lb.planAdmission(now)
 }
