load: what requests cost in reports and sums

An instance learns the cost of a kind of requests from its own callers only, and forgets it when it restarts.

Reports carry up to 8 costs of a service (a hash of the kind, the work in microseconds, the observations), sums up to 16: the geometric means, weighted by observations, so that one of 28 instances that is wrong by a factor of 100 moves the mean by less than a fifth. Costs take at most 32 entries of a datagram, and give way when it has no room. A datagram without the field decodes; the version stays 1.

--- a/pkg/load/codec.go
+++ b/pkg/load/codec.go
@@ -94,9 +94,9 @@
 
 // EncodeReport returns the datagram of a report. Its instance is not in it, as the
 // datagram comes from there. Servers with the least in progress are left out if it
-// would exceed MaxDatagram.
+// would exceed MaxDatagram, as are the costs with the fewest observations.
 func EncodeReport(r *Report) ([]byte, error) {
-	return fit(r.Services, func(services []Service) ([]byte, error) {
+	return fit(r.Services, MaxReportCosts, func(services []Service) ([]byte, error) {
 		var n names
 		w := wireReport{StartedAt: r.StartedAt, Sequence: r.Sequence, Services: n.services(services)}
 		w.Names = n.list
@@ -105,8 +105,9 @@
 }
 
 // EncodeAnswer returns the datagram of an answer, without an echo. If it would exceed
-// MaxDatagram, servers with the least in progress are left out; if the other domains
-// would take more than half of it, those with the least free room are.
+// MaxDatagram, servers with the least in progress are left out, and the costs with the
+// fewest observations; if the other domains would take more than half of it, those with
+// the least free room are.
 func EncodeAnswer(a *Answer) ([]byte, error) {
 	sums, preferred := a.Sums, &a.Preferred
 	others, err := fitTotals(sums.Others, MaxDatagram/2, compareRoom, func(list []Total) ([]byte, error) {
@@ -121,7 +122,7 @@
 			return nil, fmt.Errorf("encode address %v: %w", preferred.Addr, err)
 		}
 	}
-	return fit(sums.Services, func(services []Service) ([]byte, error) {
+	return fit(sums.Services, MaxCosts, func(services []Service) ([]byte, error) {
 		var n names
 		w := wireSums{
 			AgeMs: millis(sums.Age), Reports: int64(min(sums.Reports, maxCount)), IntervalMs: millis(sums.Interval),
@@ -182,9 +183,10 @@
 }
 
 // fit calls encodeServices with as many of the servers, those with the most in
-// progress first, as MaxDatagram allows.
-func fit(services []Service, encodeServices func([]Service) ([]byte, error)) ([]byte, error) {
-	services = services[:min(len(services), maxServices)]
+// progress first, as MaxDatagram allows, and with at most maxCosts costs of a service.
+// There are no costs if the datagram has no room for any server.
+func fit(services []Service, maxCosts int, encodeServices func([]Service) ([]byte, error)) ([]byte, error) {
+	services = limitCosts(services[:min(len(services), maxServices)], maxCosts, maxDatagramCosts)
 	count := 0
 	for i := range services {
 		count += len(services[i].Servers)
@@ -194,9 +196,14 @@
 		if err != nil || len(b) <= MaxDatagram {
 			return b, err
 		}
-		if count == 0 {
+		if count == 0 && maxCosts == 0 {
 			return nil, &LimitError{"bytes", int64(len(b)), MaxDatagram}
 		}
+		if count == 0 {
+			maxCosts = 0
+			services = limitCosts(services, 0, 0)
+			continue
+		}
 		excess := len(b) - MaxDatagram
 		count = max(count-max(excess/maxServerSize, 1), 0)
 		services = busiest(services, count)
--- a/pkg/load/codec_test.go
+++ b/pkg/load/codec_test.go
@@ -17,9 +17,17 @@
 	for i := range servers {
 		s.Servers = append(s.Servers, Server{ID: uint64(i+1) * 0x9E3779B9 % (1 << 32), InProgress: uint32(i%5 + 1), Flows: uint32(i%40 + 1)})
 	}
+	s.Costs = testCosts(3) // one for each route
 	return s
 }
 
+func testCosts(n int) (out []Cost) {
+	for i := range n {
+		out = append(out, Cost{Key: uint32(i+1) * 0x1E3779B9, Work: time.Duration(i+30) * time.Millisecond, Observations: MaxObservations})
+	}
+	return out
+}
+
 func domainTotal(domain, service string) Total {
 	return Total{
 		Domain: domain, Service: service, Demand: busyService("", 0).Demand, Slots: 80, Busy: 76.5, InProgress: 131,
@@ -136,6 +144,12 @@
 		{"server ID", wireReport{Names: []string{"s"}, Services: []wireService{{Servers: []byte{1, 1, 1, 0, 1, 1}}}}},
 		{"bytes of open flows", wireReport{Names: []string{"s"}, Services: []wireService{{Servers: []byte{1, 1}}}}},
 		{"open flows", wireReport{Names: []string{"s"}, Services: []wireService{{Servers: []byte{1, 1, 0xff, 0xff, 0xff, 0xff, 1}}}}},
+		{"bytes of a cost", wireReport{Names: []string{"s"}, Services: []wireService{{Costs: []byte{1, 2, 3}}}}},
+		{"work", wireReport{Names: []string{"s"}, Services: []wireService{{Costs: []byte{1, 2, 3, 4, 0, 1}}}}},
+		{"work", wireReport{Names: []string{"s"}, Services: []wireService{{Costs: []byte{1, 2, 3, 4, 0xff, 0xff, 0xff, 0xff, 0x7f, 1}}}}},
+		{"bytes of observations", wireReport{Names: []string{"s"}, Services: []wireService{{Costs: []byte{1, 2, 3, 4, 1}}}}},
+		{"observations", wireReport{Names: []string{"s"}, Services: []wireService{{Costs: []byte{1, 2, 3, 4, 1, 0xff, 0xff, 0xff, 0xff, 1}}}}},
+		{"costs", wireReport{Names: []string{"s"}, Services: []wireService{{Costs: packCosts(testCosts(MaxCosts + 1))}}}},
 	} {
 		b, err := encode(KindReport, &tc.body)
 		assert.NilError(t, err)
--- a/pkg/load/exchange_test.go
+++ b/pkg/load/exchange_test.go
@@ -48,7 +48,7 @@
 	for range n {
 		nd := &node{ledger: Ledger{Domain: "a"}}
 		nd.ledger.Start()
-		s := Service{Name: "order-intake", Demand: Demand{Offered: [Classes]float64{float64(rnd.IntN(9)) / 2, 3}, Done: 4.5}, Sent: []Sent{{"b", uint32(rnd.IntN(3)), 0.5}}}
+		s := Service{Name: "order-intake", Demand: Demand{Offered: [Classes]float64{float64(rnd.IntN(9)) / 2, 3}, Done: 4.5}, Sent: []Sent{{"b", uint32(rnd.IntN(3)), 0.5}}, Costs: testCosts(MaxReportCosts)}
 		for id := range fleetServers {
 			if rnd.IntN(4) == 0 {
 				s.Servers = append(s.Servers, Server{uint64(id+1) * 100_000_007, uint32(rnd.IntN(3)), uint32(rnd.IntN(9))})
--- a/pkg/load/ledger.go
+++ b/pkg/load/ledger.go
@@ -180,13 +180,14 @@
 	demand  Demand
 	servers map[uint64]Server
 	sent    map[string]Sent
+	costs   map[uint32]costSum
 }
 
 // add adds the part of a report that is about one service.
 func (s summation) add(service *Service) {
 	sum := s[service.Name]
 	if sum == nil {
-		sum = &serviceSum{servers: map[uint64]Server{}, sent: map[string]Sent{}}
+		sum = &serviceSum{servers: map[uint64]Server{}, sent: map[string]Sent{}, costs: map[uint32]costSum{}}
 		s[service.Name] = sum
 	}
 	sum.demand.Add(&service.Demand)
@@ -198,10 +199,14 @@
 		known := sum.sent[sent.Domain]
 		sum.sent[sent.Domain] = Sent{sent.Domain, known.InProgress + sent.InProgress, known.Opened + sent.Opened}
 	}
+	for _, c := range service.Costs {
+		sum.costs[c.Key] = sum.costs[c.Key].add(c)
+	}
 }
 
 // services returns the first maxServices services by name, each with the maxServers
-// servers that have the most in progress, in order of ID.
+// servers that have the most in progress, in order of ID, and the MaxCosts costs with
+// the most observations.
 func (s summation) services() []Service {
 	var out []Service
 	for _, name := range slices.Sorted(maps.Keys(s)) {
@@ -216,7 +221,7 @@
 		}
 		slices.SortFunc(servers, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
 		sent := slices.SortedFunc(maps.Values(sum.sent), func(a, b Sent) int { return cmp.Compare(a.Domain, b.Domain) })
-		out = append(out, Service{Name: name, Demand: sum.demand, Servers: servers, Sent: sent})
+		out = append(out, Service{Name: name, Demand: sum.demand, Servers: servers, Sent: sent, Costs: meanCosts(sum.costs)})
 	}
 	return out
 }
--- a/pkg/load/load.go
+++ b/pkg/load/load.go
@@ -55,12 +55,14 @@
 }
 
 // Service is the part of a report or of sums that is about one service. Servers are
-// those of the own failure domain only.
+// those of the own failure domain only. Costs are at most MaxReportCosts in a report
+// and MaxCosts in sums.
 type Service struct {
 	Name    string
 	Demand  Demand
 	Servers []Server
 	Sent    []Sent
+	Costs   []Cost
 }
 
 // Report is what one instance sends.
--- a/pkg/load/wire.go
+++ b/pkg/load/wire.go
@@ -44,6 +44,7 @@
 	Demand  []int64 // without the zeros at its end
 	Servers []byte  // packed by packServers
 	Sent    []int64 // name, requests in progress and opened flows of each domain
+	Costs   []byte  // packed by packCosts
 }
 
 type wireTotal struct {
@@ -100,7 +101,7 @@
 	out := make([]wireService, 0, len(list))
 	for i := range list {
 		if s := &list[i]; len(s.Name) <= maxNameBytes {
-			out = append(out, wireService{Name: n.index(s.Name), Demand: packDemand(&s.Demand), Servers: packServers(s.Servers), Sent: n.sent(s.Sent)})
+			out = append(out, wireService{Name: n.index(s.Name), Demand: packDemand(&s.Demand), Servers: packServers(s.Servers), Sent: n.sent(s.Sent), Costs: packCosts(s.Costs)})
 		}
 	}
 	return out
@@ -223,7 +224,7 @@
 	var out []Service
 	for i := 0; i < len(list) && r.err == nil; i++ {
 		s := &list[i]
-		out = append(out, Service{Name: r.name(s.Name), Demand: r.demand(s.Demand), Servers: r.servers(s.Servers), Sent: r.sent(s.Sent)})
+		out = append(out, Service{Name: r.name(s.Name), Demand: r.demand(s.Demand), Servers: r.servers(s.Servers), Sent: r.sent(s.Sent), Costs: r.costs(s.Costs)})
 	}
 	return out
 }
