--- a/pkg/router/admission.go
+++ b/pkg/router/admission.go
@@ -62,12 +62,6 @@
 	}
 }
 
-// inForce reports whether new flows of a service are admitted by a plan.
-func (a *admission) inForce(service string) bool {
-	sa := a.services[service]
-	return sa != nil && sa.inForce
-}
-
 // placeAdmitted places a new flow if it is admitted. While no plan is in force, it
 // decides as place does.
 func (lb *Balancer) placeAdmitted(now time.Time, p *Packet, rt *Route, service string, failed *server) (*server, wire.Reason) {
--- a/pkg/router/admission_test.go
+++ b/pkg/router/admission_test.go
@@ -35,11 +35,15 @@
 	return lb, now
 }
 
+// urgentRate is the rate of new urgent flows in the sums.
+const urgentRate = 30
+
 // pressedSums are sums of failure domain "a" in which each server has inProgress
-// requests, callers ask for class1 and class2 new flows a second, and 100 are answered.
-func pressedSums(inProgress uint32, class1, class2 float64) *load.Sums {
+// requests, callers ask for others new flows a second that are not urgent, and 100
+// requests a second are answered.
+func pressedSums(inProgress uint32, others float64) *load.Sums {
 	s := load.Service{Name: "s", Servers: []load.Server{{ID: 1, InProgress: inProgress}, {ID: 2, InProgress: inProgress}}}
-	s.Demand.Offered[1], s.Demand.Offered[2], s.Demand.Done = class1, class2, 100
+	s.Demand.Offered[1], s.Demand.Offered[2], s.Demand.Done = urgentRate, others, 100
 	return &load.Sums{Reports: 2, Services: []load.Service{s}}
 }
 
@@ -61,7 +65,7 @@
 // and against a refusal that was sent to a server.
 func TestAdmissionByPriority(t *testing.T) {
 	lb, now := newPressedBalancer()
-	lb.SetSums(now, pressedSums(20, 30, 700))
+	lb.SetSums(now, pressedSums(20, 700))
 	reasons, _ := openFlows(lb, now, urgentAddr, 200)
 	assert.Equal(t, reasons[wire.ReasonOverloaded], 0)
 	reasons, servers := openFlows(lb, now, otherAddr, 200)
@@ -76,7 +80,7 @@
 	for i := range 50 {
 		now = now.Add(10 * time.Millisecond)
 		if i%10 == 0 {
-			with.SetSums(now, pressedSums(1, 30, 60))
+			with.SetSums(now, pressedSums(1, 60))
 		}
 		for _, to := range []netip.AddrPort{urgentAddr, otherAddr} {
 			a, b := newCaller(with, uint16(i), to), newCaller(without, uint16(i), to)
@@ -91,7 +95,7 @@
 // Guards against refusals by sums that are too old: the instances that sum up are gone.
 func TestOldSumsRefuseNothing(t *testing.T) {
 	lb, now := newPressedBalancer()
-	lb.SetSums(now, pressedSums(20, 30, 700))
+	lb.SetSums(now, pressedSums(20, 700))
 	later := now.Add(maxSumsAge)
 	runTicks(lb, now, later.Add(time.Millisecond))
 	reasons, _ := openFlows(lb, later, otherAddr, 50)
@@ -105,7 +109,7 @@
 func TestExcessGoesNextDoor(t *testing.T) {
 	for _, out := range []bool{false, true} {
 		lb, now := newPressedBalancer()
-		sums := pressedSums(20, 30, 100)
+		sums := pressedSums(20, 100)
 		idle := load.Total{Domain: "b", Service: "s", Slots: 100, Busy: 10, InProgress: 10}
 		idle.Demand.Done = 300
 		sums.Others = []load.Total{idle}
@@ -123,7 +127,7 @@
 // that each open fewer.
 func TestFlowLimitOverAllInstances(t *testing.T) {
 	lb, now := newPressedBalancer()
-	sums := pressedSums(1, 30, 60)
+	sums := pressedSums(1, 60)
 	sums.Services[0].Servers[0].Flows = 100
 	lb.SetSums(now, sums)
 	_, servers := openFlows(lb, now, otherAddr, 50)
@@ -199,7 +203,7 @@
 	var out bytes.Buffer
 	lb, now := newPressedBalancer()
 	lb.Log = slog.New(slog.NewTextHandler(&out, nil))
-	lb.SetSums(now, pressedSums(20, 30, 700))
-	lb.SetSums(now, pressedSums(20, 30, 700))
+	lb.SetSums(now, pressedSums(20, 700))
+	lb.SetSums(now, pressedSums(20, 700))
 	assert.Equal(t, strings.Count(out.String(), "admission changed"), 1)
 }
--- a/pkg/router/load_bounds_test.go
+++ b/pkg/router/load_bounds_test.go
@@ -57,7 +57,14 @@
 // and against servers that reject what could be refused before.
 func TestUrgentRequestsInSurge(t *testing.T) {
 	for seed := range uint64(2) {
-		for _, x := range []float64{2, 3, 4} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { assertSurge(t, surgeOf(0, 2), seed) })
+	}
+}
+
+// Guards against the same while the urgent requests alone nearly fill the servers.
+func TestUrgentRequestsInHeavySurge(t *testing.T) {
+	for seed := range uint64(2) {
+		for _, x := range []float64{3, 4} {
 			t.Run(fmt.Sprint(seed, "/", x), func(t *testing.T) {
 				cfg := surgeOf(0, x)
 				if x > 3 {
@@ -112,17 +119,23 @@
 // Guards against callers of one route who pay for a flood of another one of lower
 // priority.
 func TestUrgentRequestsInFlood(t *testing.T) {
-	for _, x := range []float64{2, 4, 8} {
-		t.Run(fmt.Sprint(x), func(t *testing.T) {
-			cfg := surgeOf(0, x)
-			cfg.surgeClasses = []int{1}
-			sim := newLoadSim(1, cfg).play()
-			assertUrgent(t, sim, minFloodWorth)
-			assertRecovered(t, sim)
-		})
+	for _, x := range []float64{2, 8} {
+		t.Run(fmt.Sprint(x), func(t *testing.T) { assertFlood(t, x) })
 	}
 }
 
+// Guards against the same with a flood of four times what the servers bear.
+func TestUrgentRequestsInFloodOfFour(t *testing.T) { assertFlood(t, 4) }
+
+func assertFlood(t *testing.T, x float64) {
+	t.Helper()
+	cfg := surgeOf(0, x)
+	cfg.surgeClasses = []int{1}
+	sim := newLoadSim(1, cfg).play()
+	assertUrgent(t, sim, minFloodWorth)
+	assertRecovered(t, sim)
+}
+
 // Guards against callers of a crowded failure domain who are refused while others
 // have room, and against callers of the others who then pay for it.
 func TestCrowdedDomain(t *testing.T) {
--- a/pkg/router/place.go
+++ b/pkg/router/place.go
@@ -19,8 +19,6 @@
 	// latency and work are means over the servers, as they were at meansAt.
 	latency, work time.Duration
 	meansAt       time.Time
-	// pressed is set while a plan of admission is in force.
-	pressed bool
 	// loaded is set while servers are chosen by what all instances have in progress.
 	loaded bool
 	// openedPerServer is the rate of flows that all instances of the failure domain
@@ -113,6 +111,8 @@
 		lb.recordColdFlow(now, best)
 	case lb.hasColdLimited(now, p):
 		return nil, wire.ReasonColdLimit
+	case p.hasFull():
+		return nil, wire.ReasonOverloaded
 	default:
 		return nil, wire.ReasonNoServer
 	}
@@ -143,7 +143,7 @@
 		for _, candidates := range [][]*server{p.local, p.remote} {
 			var best *server
 			for _, srv := range candidates {
-				if lb.usable(srv) && !lb.coldLimited(now, srv) && lb.domain(srv.Domain).unreachable == unreachable && (best == nil || srv.health.suspectedUntil.Before(best.health.suspectedUntil)) {
+				if lb.usable(srv) && !srv.load.full() && !lb.coldLimited(now, srv) && lb.domain(srv.Domain).unreachable == unreachable && (best == nil || srv.health.suspectedUntil.Before(best.health.suspectedUntil)) {
 					best = srv
 				}
 			}
@@ -160,7 +160,7 @@
 func (lb *Balancer) estimateLatency(now time.Time, p *pool, srv *server) time.Duration {
 	load := &srv.load
 	busy := recentWorkWeight * time.Duration(load.RecentWork(now)).Seconds()
-	return time.Duration(float64(lb.baseLatency(now, p, srv)) * (1 + lb.waiting(now, p, srv) + busy) * (1 + estimateJitter*lb.rnd.Float64()))
+	return time.Duration(float64(lb.baseLatency(now, p, srv)) * (1 + lb.waiting(now, srv) + busy) * (1 + estimateJitter*lb.rnd.Float64()))
 }
 
 // baseLatency returns the expected latency of a request at an idle server.
@@ -179,9 +179,8 @@
 }
 
 // waiting returns the expected number of requests per slot that are served
-// before a request sent now. While the service is pressed, it counts the requests of
-// all instances of the failure domain.
-func (lb *Balancer) waiting(now time.Time, p *pool, srv *server) float64 {
+// before a request sent now.
+func (lb *Balancer) waiting(now time.Time, srv *server) float64 {
 	load := &srv.load
 	return (float64(load.InFlight+load.pendingOpenings) + load.Backlog(now)) / srv.slots()
 }
--- a/pkg/router/share.go
+++ b/pkg/router/share.go
@@ -84,7 +84,7 @@
 // estimateWait returns the time in nanoseconds that a request sent now waits at
 // a server.
 func (lb *Balancer) estimateWait(now time.Time, p *pool, srv *server) float64 {
-	return lb.waiting(now, p, srv) * float64(lb.baseLatency(now, p, srv))
+	return lb.waiting(now, srv) * float64(lb.baseLatency(now, p, srv))
 }
 
 // recordWork adds the work of a new request to that of a server. relative is its cost in
--- a/pkg/router/sums.go
+++ b/pkg/router/sums.go
@@ -27,10 +27,16 @@
 }
 
 // full reports whether a server holds as many flows of all instances as its service
-// allows, or will before the next sums.
+// allows, or will before the next sums. Reports are as old as an interval when they are
+// summed up, and the sums become as old again.
 func (l *serverLoad) full() bool {
 	sh := &l.shared
-	return sh.limit > 0 && sh.flows+sh.growth+l.flows+l.pendingOpenings >= sh.limit
+	return sh.limit > 0 && sh.flows+2*sh.growth+l.flows+l.pendingOpenings >= sh.limit
+}
+
+// hasFull reports whether some server of the pool is full.
+func (p *pool) hasFull() bool {
+	return slices.ContainsFunc(p.local, func(srv *server) bool { return srv.load.full() })
 }
 
 // LoadReport returns what this instance has in progress, for the sums of its failure
@@ -169,7 +175,7 @@
 		if a.inForce {
 			lb.Log.Warn("sums of load are too old, all new flows are admitted", "service", name, "age", now.Sub(lb.admission.sumsAt))
 		}
-		lb.setPlan(name, a, admit.Plan{}, false)
+		a.plan, a.inForce = admit.Plan{}, false
 	}
 	for _, p := range lb.pools {
 		p.loaded = false
@@ -211,15 +217,7 @@
 		if pressed != a.inForce {
 			lb.Log.Warn("admission changed", "service", s.Name, "pressed", pressed, "inProgress", own.InProgress, "slots", own.Slots, "busy", own.Busy, "answered", own.Demand.Done, "rejected", own.Demand.Rejected, "instances", lb.admission.sums.Reports)
 		}
-		lb.setPlan(s.Name, a, plan, pressed)
-	}
-}
-
-// setPlan puts the plan of a service in force, or out of force.
-func (lb *Balancer) setPlan(name string, a *serviceAdmission, plan admit.Plan, pressed bool) {
-	a.plan, a.inForce = plan, pressed
-	if p := lb.pools[name]; p != nil {
-		p.pressed = pressed
+		a.plan, a.inForce = plan, pressed
 	}
 }
 
