admit, router: faults found in the review of admission

- Without answers the capacity was 0, a plan refused everybody and nothing ended it: a plan needs answers now.
- A second opening with copy number 0 whose first one was forwarded could be refused.
- The last acknowledgement after the end of a flow looked like a flow of another instance: it took own requests out of those in progress, and left open flows that do not exist.
The state of an ended flow is kept for 2 s.
- Services that sums or settings lack kept their plan and the load of their servers.
- Flows for a failure domain that became unreachable were refused.
- Slots of suspected servers counted as room.
- The first sums took all open flows for new ones.
- Sums of large domains were too old half of the time.

--- a/pkg/admit/admit.go
+++ b/pkg/admit/admit.go
@@ -107,6 +107,10 @@
 func (s *Service) Update(now time.Time, target time.Duration, own Domain, others []Domain) (Plan, bool) {
 	work := workTime(own, others)
 	bearable := s.bearable(target, work, &own)
+	if work <= 0 { // without answers nothing is known of the capacity
+		*s = Service{}
+		return Plan{}, false
+	}
 	s.setPressed(now, bearable, &own)
 	if !s.pressed {
 		s.trim, s.refuses, s.rooms = 0, false, nil
--- a/pkg/load/load.go
+++ b/pkg/load/load.go
@@ -121,5 +121,5 @@
 	if r.value == 0 {
 		return 0
 	}
-	return r.value * math.Exp(-now.Sub(r.at).Seconds()/rateWindow.Seconds())
+	return r.value * math.Exp(-max(now.Sub(r.at), 0).Seconds()/rateWindow.Seconds())
 }
--- a/pkg/router/admission.go
+++ b/pkg/router/admission.go
@@ -71,7 +71,7 @@
 		lb.demand.service(service).offered[class].Add(now, lb.relativeCost(service, cost.Key{Route: p.Service, Bucket: rt.bucket}))
 	}
 	sa := lb.admission.services[service]
-	if sa == nil || !sa.inForce || p.Retransmissions > 0 {
+	if sa == nil || !sa.inForce || p.Retransmissions > 0 || failed != nil {
 		return lb.place(now, service, rt.LatencyTarget, failed)
 	}
 	draw := lb.rnd.Float64()
@@ -85,7 +85,10 @@
 	for i := range sa.plan.Away {
 		away := &sa.plan.Away[i]
 		if draw < away.Share[class] {
-			return lb.placeIn(now, service, away.Domain, failed)
+			if srv, reason := lb.placeIn(now, service, away.Domain, failed); srv != nil {
+				return srv, reason
+			}
+			return lb.place(now, service, rt.LatencyTarget, failed)
 		}
 		draw -= away.Share[class]
 	}
--- a/pkg/router/balancer.go
+++ b/pkg/router/balancer.go
@@ -195,6 +195,9 @@
 		return lb.handleUnroutedOpening(p)
 	}
 	f := lb.flows.get(p)
+	if f != nil && f.ended {
+		f = nil // the caller's port is in use again
+	}
 	if f != nil && f.open {
 		// A delayed duplicate of an opening that the server has answered.
 		return drop(wire.ReasonUnknownFlow)
--- a/pkg/router/flow.go
+++ b/pkg/router/flow.go
@@ -27,8 +27,12 @@
 // flow is the state of one flow. Forwarding does not need it; it feeds the
 // passive health checks and the load estimates.
 type flow struct {
-	server       *server
-	open         bool
+	server *server
+	open   bool
+	// ended is set once the caller ended the flow. The state is kept for endedLifetime,
+	// as the caller's last acknowledgements would else look like a flow that another
+	// instance opened.
+	ended        bool
 	lastPacketAt time.Time
 	// adopted is set if another instance opened the flow, or this one before it
 	// discarded the flow's state.
@@ -72,6 +76,9 @@
 // lose precision by it.
 const defaultIdleTimeout = 15 * time.Second
 
+// endedLifetime is how long the state of a flow is kept after its caller ended it.
+const endedLifetime = 2 * time.Second
+
 // flowTable holds the state of up to max flows.
 type flowTable struct {
 	max     int
@@ -108,21 +115,28 @@
 func (t *flowTable) remove(p *Packet) {
 	k := keyOf(p)
 	if f := t.entries[k]; f != nil {
-		f.server.load.flowDone(f)
+		f.end()
 		delete(t.entries, k)
 	}
 }
 
 func (t *flowTable) expire(now time.Time, idleTimeout time.Duration) {
 	for k, f := range t.entries {
-		if now.Sub(f.lastPacketAt) > idleTimeout {
+		idle := now.Sub(f.lastPacketAt)
+		if idle > idleTimeout || f.ended && idle > endedLifetime {
 			f.end()
 			delete(t.entries, k)
 		}
 	}
 }
 
-func (f *flow) end() { f.server.load.flowDone(f) }
+// end takes the flow out of the load of its server.
+func (f *flow) end() {
+	if !f.ended {
+		f.server.load.flowDone(f)
+		f.ended = true
+	}
+}
 
 // seqAfter reports whether sequence number a comes after b, with wraparound.
 func seqAfter(a, b uint32) bool { return int32(a-b) > 0 }
@@ -137,12 +151,15 @@
 // its server is unresponsive and the caller may safely send the request again.
 func (lb *Balancer) observe(now time.Time, p *Packet, srv *server, rt *Route) (closeFlow bool) {
 	f := lb.flows.get(p)
-	if f == nil || f.server != srv {
+	if f == nil || f.server != srv || f.ended && seqAfter(p.Seq+uint32(p.Size), f.seq+1) {
 		// Another instance opened the flow, or the opening was retransmitted
 		// and went to two servers, and the other one got the flow.
 		f = lb.flows.adopt(now, p, srv)
 		lb.demand.adopted(now)
 	}
+	if f.ended {
+		return false
+	}
 	f.lastPacketAt = now
 	if !f.open {
 		f.open, f.answerSeen = true, true
@@ -175,7 +192,7 @@
 	}
 	if p.End || p.Reset {
 		lb.demand.ended(now, f, rt)
-		lb.flows.remove(p)
+		f.end()
 	}
 	return closeFlow
 }
--- a/pkg/router/sums.go
+++ b/pkg/router/sums.go
@@ -9,9 +9,13 @@
 	"ebonypaddle/pkg/load"
 )
 
-// maxSumsAge is how long sums are used. Without newer ones an instance decides as if
-// there were none.
-const maxSumsAge = 1200 * time.Millisecond
+const (
+	// maxSumsAge is how long sums are used after they came, and maxSumsIntervals that
+	// in intervals of reports, if it is longer. Without newer ones an instance decides
+	// as if there were none.
+	maxSumsAge       = 1200 * time.Millisecond
+	maxSumsIntervals = 3
+)
 
 // sharedLoad is what the other instances of the failure domain have in progress at a
 // server.
@@ -24,6 +28,7 @@
 	flows, growth, limit int
 	flowsReported        int // own open flows at the last report
 	flowsTotal           int // of all instances
+	known                bool // false before the first sums
 }
 
 // full reports whether a server holds as many flows of all instances as its service
@@ -92,6 +97,7 @@
 // instance, and plans the admission of new flows by them.
 func (lb *Balancer) SetSums(now time.Time, sums *load.Sums) {
 	lb.admission.sumsAt, lb.admission.sums = now, sums
+	lb.dropOldSums()
 	for i := range sums.Services {
 		s := &sums.Services[i]
 		if sa := lb.admission.services[s.Name]; sa != nil {
@@ -102,6 +108,24 @@
 	lb.planAdmission(now)
 }
 
+// dropOldSums forgets the load of services that the sums or the settings lack.
+func (lb *Balancer) dropOldSums() {
+	for name, p := range lb.pools {
+		known := slices.ContainsFunc(lb.admission.sums.Services, func(s load.Service) bool { return s.Name == name })
+		a := lb.admission.services[name]
+		if a != nil && known {
+			continue
+		}
+		if a != nil {
+			a.plan, a.inForce = admit.Plan{}, false
+		}
+		p.loaded = false
+		for _, srv := range p.local {
+			srv.load.shared = sharedLoad{}
+		}
+	}
+}
+
 // applyServerSums sets the load of other instances at the servers of a service.
 func (lb *Balancer) applyServerSums(s *load.Service) {
 	p, a := lb.pools[s.Name], lb.admission.services[s.Name]
@@ -120,7 +144,11 @@
 		}
 		sh.others = max(int(sum.InProgress)-sh.reported, 0)
 		sh.flows = max(int(sum.Flows)-sh.flowsReported, 0)
-		sh.growth = max(int(sum.Flows)-sh.flowsTotal, 0)
+		sh.growth = 0
+		if sh.known {
+			sh.growth = max(int(sum.Flows)-sh.flowsTotal, 0)
+		}
+		sh.known = true
 		sh.flowsTotal, sh.limit = int(sum.Flows), a.maxFlows
 	}
 }
@@ -133,7 +161,7 @@
 	}
 	for i := range lb.admission.sums.Services {
 		s := &lb.admission.sums.Services[i]
-		t := lb.total(s)
+		t := lb.total(now, s)
 		totals = append(totals, t)
 		if a := lb.admission.services[s.Name]; a != nil && (a.inForce || t.Slots > 0 && t.Busy >= idleShare*t.Slots) {
 			pressed = true
@@ -143,14 +171,14 @@
 }
 
 // total returns the load of a service in this failure domain.
-func (lb *Balancer) total(s *load.Service) load.Total {
+func (lb *Balancer) total(now time.Time, s *load.Service) load.Total {
 	t := load.Total{Domain: lb.Domain, Service: s.Name, Demand: s.Demand, Sent: s.Sent}
 	p := lb.pools[s.Name]
 	if p == nil {
 		return t
 	}
 	for _, srv := range p.local {
-		if !lb.usable(srv) {
+		if !lb.usable(srv) || srv.health.suspected(now) {
 			continue
 		}
 		inProgress := float64(srv.load.shared.others + srv.load.shared.reported)
@@ -162,7 +190,8 @@
 }
 
 func (lb *Balancer) sumsFresh(now time.Time) bool {
-	return lb.admission.sums != nil && now.Sub(lb.admission.sumsAt)+lb.admission.sums.Age < maxSumsAge
+	sums := lb.admission.sums
+	return sums != nil && now.Sub(lb.admission.sumsAt) < max(maxSumsAge, maxSumsIntervals*sums.Interval)
 }
 
 // expireSums puts plans out of force whose sums are too old.
@@ -193,7 +222,7 @@
 		if a == nil {
 			continue
 		}
-		own := admit.Domain{Total: lb.total(s)}
+		own := admit.Domain{Total: lb.total(now, s)}
 		lb.setLoaded(s.Name, &own.Total)
 		for _, srv := range s.Servers {
 			own.Flows += float64(srv.Flows)
