router, relay: no server takes the token of another one's open flows

The owner of a token was the server that says it started first, of those that have a record. Clocks are wrong, `born` may be missing, records expire, and a restarted instance knows the present records only.

A token is now contested while servers with different IDs have it, or one and another that was removed less than 90 s ago. New flows get no contested token, so its flows were opened before, at the server that the instance knew with it before: the holder. Its packets go there; they are dropped, with a reason of their own, while the holder has no record or is not known. Servers learned within a second have no known holder, as a response of the store can lack changes of that time. An instance that starts asks others for the holders, at a path of its own. Besides contested tokens they tell those of servers that were removed or have no record: a server that starts later would get them otherwise. An answer counts if the responding instance has been told itself, or gave up, and has server records at least as new, so it saw the same removals.

Refusals by timeout are not touched here.

Tests changed: TestTokensOfServersThatComeAndGo compared the table with one built anew, which must differ now that history decides; it checks instead that the table has exactly the tokens of the servers, and that no server is given a token that another known one has, or was given within 60 s. TestTokensAfterTheEarlierServerLeft restarted an instance that asked nobody; it asks now, the checks are the same. In TestCollidingTokens the second server came in the instant of the first list; it comes a second later, and TestServersLearnedTogether has the earlier case.

--- a/pkg/cache/tree.go
+++ b/pkg/cache/tree.go
@@ -145,6 +145,16 @@
 	return members[m.Rand.IntN(len(members))].Addr, true
 }
 
+// RandomDomainMember returns a random live member of this instance's failure domain other
+// than the one that was asked last, or any other member if there is none.
+func (m *Members) RandomDomainMember(now time.Time, last netip.AddrPort) (netip.AddrPort, bool) {
+	members := slices.DeleteFunc(m.live(now), func(mb *member) bool { return mb.Domain != m.Self.Domain || mb.Addr == last })
+	if len(members) == 0 {
+		return m.RandomMember(now, last)
+	}
+	return members[m.Rand.IntN(len(members))].Addr, true
+}
+
 // live returns the live members that are not skipped, in order of rank, and
 // removes those that timed out.
 func (m *Members) live(now time.Time) []*member {
--- a/pkg/cache/tree_test.go
+++ b/pkg/cache/tree_test.go
@@ -119,3 +119,24 @@
 		assert.Equal(t, len(m.DomainMembers(testStart)), 40)
 	}
 }
+
+// Guards against requests that leave the failure domain while it has other members, and
+// against none if it has no other.
+func TestRandomDomainMember(t *testing.T) {
+	m := newMembers(4, 12, func(int, int) bool { return true })[0]
+	last := netip.AddrPort{}
+	for range 50 {
+		a, ok := m.RandomDomainMember(testStart, last)
+		assert.Assert(t, ok && a != last && a != m.Self.Addr)
+		assert.Equal(t, m.byAddr[a].Domain, m.Self.Domain)
+		last = a
+	}
+	for _, a := range m.DomainMembers(testStart) {
+		delete(m.byAddr, netip.MustParseAddrPort(a))
+	}
+	a, ok := m.RandomDomainMember(testStart, last)
+	assert.Assert(t, ok && m.byAddr[a].Domain != m.Self.Domain)
+	m.byAddr = nil
+	_, ok = m.RandomDomainMember(testStart, last)
+	assert.Assert(t, !ok)
+}
--- a/pkg/relay/peer.go
+++ b/pkg/relay/peer.go
@@ -70,6 +70,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(exchangePath, connect.NewUnaryHandler(exchangePath, admin.Unary(r.handleExchange), connect.WithCodec(codec), connect.WithReadMaxBytes(maxMessageSize)))
+	mux.Handle(tokensPath, connect.NewUnaryHandler(tokensPath, admin.Unary(r.handleTokens), connect.WithCodec(codec), connect.WithReadMaxBytes(maxTokensSize)))
 	return r.serve(l, mux), nil
 }
 
@@ -146,8 +147,14 @@
 func (c *peerClient) call(ctx context.Context, to netip.AddrPort, req cache.Request) (*cache.Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.MaxWait)*time.Millisecond+exchangeTimeoutMargin)
 	defer cancel()
-	client := connect.NewClient[cache.Request, cache.Response](c.http, "http://"+to.String()+exchangePath, connect.WithCodec(c.codec), connect.WithReadMaxBytes(maxMessageSize), connect.WithAcceptCompression("gzip", nil, nil))
-	res, err := client.CallUnary(ctx, connect.NewRequest(&req))
+	return unary[cache.Request, cache.Response](ctx, c, to, exchangePath, &req, maxMessageSize)
+}
+
+// unary sends a request to a path of another instance. Its response has up to maxBytes
+// bytes.
+func unary[Req, Res any](ctx context.Context, c *peerClient, to netip.AddrPort, path string, req *Req, maxBytes int) (*Res, error) {
+	client := connect.NewClient[Req, Res](c.http, "http://"+to.String()+path, connect.WithCodec(c.codec), connect.WithReadMaxBytes(maxBytes), connect.WithAcceptCompression("gzip", nil, nil))
+	res, err := client.CallUnary(ctx, connect.NewRequest(req))
 	if err != nil {
 		return nil, fmt.Errorf("request to %s: %w", to, err)
 	}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -154,6 +154,7 @@
 	wg.Go(func() { r.probe(runCtx) })
 	wg.Go(func() { r.runReadPolicy(runCtx) })
 	wg.Go(func() { r.exchangeLoop(runCtx) })
+	wg.Go(func() { r.askTokens(runCtx) })
 	for k := range cache.Kinds {
 		wg.Go(func() { r.readLoop(runCtx, k) })
 	}
--- a/pkg/router/balancer.go
+++ b/pkg/router/balancer.go
@@ -79,7 +79,6 @@
 	tokens           tokenTable
 	pools            map[string]*pool
 	flows            flowTable
-	removedTokens    tokenSet             // tokens of servers that are no longer used
 	unknownTokens    map[uint32]time.Time // by token, with the time of its first packet
 	domains          map[string]*domain
 	pendingOpenings  []pendingOpening // oldest first; those before nextPending are done
@@ -113,14 +112,13 @@
 	}
 	lb.marks.start()
 	lb.byName = map[string]*server{}
-	lb.tokens.start()
+	lb.tokens.start(lb.Log)
 	lb.pools = map[string]*pool{}
 	lb.unknownTokens = map[uint32]time.Time{}
 	lb.domains = map[string]*domain{}
 	lb.expired = map[netip.AddrPort]*server{}
 	lb.startedAt, lb.lastCallAt = now, now
 	lb.flows.start(lb.Limits.MaxFlows)
-	lb.removedTokens.start()
 }
 
 // SetSynced records that all server records of the store were applied.
@@ -265,10 +263,13 @@
 
 // handleUnknownToken handles a packet whose token belongs to no known server.
 func (lb *Balancer) handleUnknownToken(now time.Time, p *Packet) Verdict {
+	if lb.tokens.contested(p.Token) {
+		return drop(wire.ReasonTokenContested)
+	}
 	if p.Reset {
 		return drop(wire.ReasonUnknownFlow)
 	}
-	if lb.removedTokens.has(p.Token) && lb.serverGone(now, p) {
+	if lb.tokens.removed.has(p.Token) && lb.serverGone(now, p) {
 		lb.flows.remove(p)
 		return refuse(wire.ReasonServerGone)
 	}
@@ -298,6 +299,7 @@
 	lb.beginCall(now)
 	lb.expireRemoved(now)
 	lb.expireRestored(now)
+	lb.tokens.expire(now)
 	if now.Sub(lb.cleanedAt) < time.Second {
 		return
 	}
--- a/pkg/router/balancer_test.go
+++ b/pkg/router/balancer_test.go
@@ -126,8 +126,9 @@
 	lb := newBalancer(one)
 	first := newCaller(lb, 1, serviceAddr)
 	assertForwarded(t, first.open(startTime, 0))
-	lb.ApplyServers(startTime, []Change[Server]{two}, false)
-	later := startTime.Add(2 * time.Second)
+	added := startTime.Add(confirmationLag)
+	lb.ApplyServers(added, []Change[Server]{two}, false)
+	later := added.Add(2 * time.Second)
 	runTicks(lb, startTime, later)
 	got := map[ServerID]uint32{}
 	for port := range uint16(50) {
--- /dev/null
+++ b/pkg/router/contest_test.go
@@ -0,0 +1,226 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ebonypaddle/pkg/revs"
+	"ebonypaddle/pkg/wire"
+)
+
+// contestTest is an instance that has an open flow with the token that a second server
+// shares.
+type contestTest struct {
+	lb          *Balancer
+	now         time.Time
+	flow        *caller
+	one, two    Change[Server]
+	rev         uint64
+	nextPort    uint16
+	sharedToken uint32
+}
+
+func newContest(t *testing.T) *contestTest {
+	t.Helper()
+	records := collidingRecords(t)
+	c := &contestTest{lb: newBalancer(records[0]), now: startTime, one: records[0], two: records[1], nextPort: 100}
+	c.sharedToken = tokens(c.one.Value.ID)[0]
+	c.lb.SettleTokens()
+	c.flow = newCaller(c.lb, 1, serviceAddr)
+	assertForwarded(t, c.flow.open(c.now, 0))
+	assert.Equal(t, c.flow.token, c.sharedToken)
+	c.wait(4 * time.Second)
+	return c
+}
+
+// wait lets time pass at the instance.
+func (c *contestTest) wait(d time.Duration) {
+	end := c.now.Add(d)
+	runTicks(c.lb, c.now, end)
+	c.now = end
+}
+
+// put applies a record, remove its removal.
+func (c *contestTest) put(r *Change[Server]) {
+	c.rev++
+	r.Rev = revs.Rev(100 + c.rev)
+	r.Deleted = false
+	c.lb.ApplyServers(c.now, []Change[Server]{*r}, false)
+}
+
+func (c *contestTest) remove(r *Change[Server]) {
+	c.rev++
+	r.Rev = revs.Rev(100 + c.rev)
+	c.lb.ApplyServers(c.now, []Change[Server]{{Name: r.Name, Rev: r.Rev, Deleted: true}}, false)
+}
+
+// restart starts another instance that lists some servers, and asks the old one if told.
+func (c *contestTest) restart(t *testing.T, told bool, servers ...Change[Server]) *contestTest {
+	t.Helper()
+	next := *c
+	next.lb = &Balancer{Domain: "a", Seed: 2}
+	next.lb.Start(c.now)
+	next.lb.ApplySettings(testSettings(1, serviceAddr, nonRepeatableAddr))
+	next.lb.ApplyServers(c.now, servers, true)
+	next.lb.SetSynced()
+	next.lb.SetConfirmed(c.now)
+	if told {
+		tellHolders(t, c.now, c.lb, next.lb)
+	}
+	return &next
+}
+
+// assertAt checks that the open flow stays at the first server.
+func (c *contestTest) assertAt(t *testing.T) {
+	t.Helper()
+	c.flow.lb = c.lb
+	offset := int(c.now.Sub(startTime) / time.Millisecond)
+	v := c.flow.data(c.now, offset, 1, offset)
+	assertForwarded(t, v)
+	assert.Equal(t, v.To.Server, c.one.Value.ID)
+}
+
+func (c *contestTest) assertDropped(t *testing.T) {
+	t.Helper()
+	c.flow.lb = c.lb
+	assertDropped(t, c.flow.data(c.now, 0, 1, 0), wire.ReasonTokenContested)
+}
+
+// assertNotGivenOut checks that no new flow gets the shared token.
+func (c *contestTest) assertNotGivenOut(t *testing.T) {
+	t.Helper()
+	for range 50 {
+		c.nextPort++
+		d := newCaller(c.lb, c.nextPort, serviceAddr)
+		assertForwarded(t, d.open(c.now, 0))
+		assert.Assert(t, d.token != c.sharedToken)
+	}
+}
+
+// Guards against open flows that a new server takes because its clock is behind, or because
+// no server says when it started, at instances that knew the servers and restarted ones.
+func TestNewServerTakesNoToken(t *testing.T) {
+	for _, clock := range []time.Duration{0, -20 * time.Second, time.Minute} {
+		for _, born := range []bool{true, false} {
+			t.Run(fmt.Sprint(clock, born), func(t *testing.T) {
+				c := newContest(t)
+				c.two.Value.StartedAt = c.now.Add(clock)
+				if !born {
+					c.two.Value.StartedAt = time.Time{}
+				}
+				c.put(&c.two)
+				c.wait(2 * time.Second)
+				c.assertAt(t)
+				c.assertNotGivenOut(t)
+				untold := c.restart(t, false, c.two, c.one)
+				untold.assertDropped(t)
+				untold.assertNotGivenOut(t)
+				told := c.restart(t, true, c.two, c.one)
+				told.assertAt(t)
+				told.assertNotGivenOut(t)
+			})
+		}
+	}
+}
+
+// Guards against open flows that another server takes while the record of theirs is
+// missing.
+func TestTokenOfALapsedServer(t *testing.T) {
+	for _, tc := range []struct {
+		name         string
+		lapse, renew time.Duration
+	}{{"short", time.Second, 0}, {"dropped", 10 * time.Second, 0}, {"dropped, other first", 5 * time.Second, 5 * time.Second}} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newContest(t)
+			c.remove(&c.one)
+			c.wait(tc.lapse)
+			restarted := c.restart(t, true)
+			for _, i := range []*contestTest{c, restarted} {
+				i.put(&i.two)
+				i.wait(2*time.Second + tc.renew)
+				i.assertNotGivenOut(t)
+				i.put(&i.one)
+				i.wait(2 * time.Second)
+				i.assertAt(t)
+				i.assertNotGivenOut(t)
+			}
+		})
+	}
+}
+
+// Guards against open flows that another server takes after the store came back from a
+// copy that lacks the record of theirs, or that has it but not the other one's.
+func TestTokenInARestoredStore(t *testing.T) {
+	c := newContest(t)
+	c.put(&c.two)
+	c.wait(2 * time.Second)
+	for _, listed := range [][]Change[Server]{{c.two}, {c.one}, {c.two, c.one}, {}} {
+		c.lb.StoreRestored(c.now)
+		c.lb.ApplyServers(c.now, listed, true)
+		c.wait(10 * time.Second)
+		both := []Change[Server]{c.two, c.one}
+		c.lb.ApplyServers(c.now, both, true)
+		c.wait(2 * time.Second)
+		c.assertAt(t)
+		c.assertNotGivenOut(t)
+		c.restart(t, true, both...).assertAt(t)
+	}
+}
+
+// Guards against a token that no flow gets any more although one server has it.
+func TestTokenIsGivenOutAgain(t *testing.T) {
+	c := newContest(t)
+	c.put(&c.two)
+	c.wait(2 * time.Second)
+	c.remove(&c.one)
+	c.wait(c.lb.Limits.RemovalGrace + tokenMemory - time.Second)
+	c.assertNotGivenOut(t)
+	assert.Assert(t, c.lb.tokens.contested(c.sharedToken))
+	c.wait(2 * time.Second)
+	assert.Equal(t, c.lb.tokens.owner(c.sharedToken).ID, c.two.Value.ID)
+	assert.Equal(t, len(c.lb.tokens.shared), 0)
+}
+
+// Guards against a holder that two instances name differently because each learned of the
+// two servers within the time in which a list can lack one.
+func TestServersLearnedTogether(t *testing.T) {
+	records := collidingRecords(t)
+	lb := newBalancer()
+	lb.ApplyServers(startTime, records[:1], false)
+	lb.ApplyServers(startTime.Add(confirmationLag-1), records[1:2], false)
+	token := tokens(records[0].Value.ID)[0]
+	assert.Assert(t, lb.tokens.contested(token))
+	assert.Assert(t, lb.tokens.owner(token) == nil)
+	assert.DeepEqual(t, lb.TokensRequest(0).Tokens, []uint32{token})
+}
+
+// Guards against holders that another instance makes up, or tells too late, and against a
+// response that lacks what the requesting instance does not know.
+func TestHoldersOfOthers(t *testing.T) {
+	c := newContest(t)
+	next := c.restart(t, false, c.two, c.one).lb
+	req := next.TokensRequest(7)
+	assert.DeepEqual(t, req.Tokens, []uint32{c.sharedToken})
+	res := c.lb.TokensResponse(c.now, 6, &req)
+	assert.Assert(t, !res.Settled, "the responding instance has older records")
+	bad := []TokenHolder{{Token: c.sharedToken, Known: true, Server: 77}}
+	assert.Equal(t, next.ApplyHolders(c.now, bad), 1)
+	old := []TokenHolder{{Token: c.sharedToken, Known: true, Server: c.one.Value.ID, Age: uint32(tokenMemory / time.Millisecond)}}
+	assert.Equal(t, next.ApplyHolders(c.now, old), 0)
+	assert.Equal(t, len(next.TokensRequest(0).Tokens), 1)
+	assert.Equal(t, next.ApplyHolders(c.now, res.Holders), 0)
+	assert.Equal(t, len(next.TokensRequest(0).Tokens), 0)
+	many := make([]TokenHolder, maxTokenHolders+5)
+	for i := range many {
+		id := ServerID(1000 + i)
+		many[i] = TokenHolder{Token: tokens(id)[0], Known: true, Server: id}
+	}
+	assert.Equal(t, next.ApplyHolders(c.now, many), 5)
+	assert.Equal(t, len(next.tokens.removed.byToken), maxRemovedTokens)
+	next.SettleTokens()
+	assert.Equal(t, next.ApplyHolders(c.now, bad), 0)
+	assert.Equal(t, next.tokens.owner(c.sharedToken).ID, c.one.Value.ID)
+}
--- a/pkg/router/expired.go
+++ b/pkg/router/expired.go
@@ -33,7 +33,7 @@
 			}
 		default:
 			lb.Log.Info("server did not renew its record", "server", srv.name, "after", age)
-			lb.dropServer(srv)
+			lb.dropServer(now, srv)
 		}
 	}
 }
--- /dev/null
+++ b/pkg/router/holders.go
@@ -0,0 +1,134 @@
+package router
+
+import (
+	"slices"
+	"time"
+
+	"ebonypaddle/pkg/revs"
+)
+
+const (
+	// maxTokensAsked bounds the tokens of a TokensRequest.
+	maxTokensAsked = 1024
+	// maxTokenHolders bounds the holders of a TokensResponse.
+	maxTokenHolders = maxRemovedTokens + maxTokensAsked
+)
+
+// TokensRequest asks another instance which servers hold tokens.
+type TokensRequest struct {
+	_ struct{} `cbor:",toarray"`
+	// Tokens are those whose holder is not known at the requesting instance, Rev is
+	// the revision of its server records.
+	Tokens []uint32
+	Rev    revs.Rev
+}
+
+// TokensResponse lists the holders of contested tokens, of those of servers without a
+// record, and of the tokens asked for.
+type TokensResponse struct {
+	_ struct{} `cbor:",toarray"`
+	// Settled is set if the responding instance knows what others told it, and the
+	// records of the requesting instance. Its response is complete then.
+	Settled bool
+	Holders []TokenHolder
+}
+
+// TokenHolder is the server whose flows have a token. If Known is false, several servers
+// have it, and Server is not valid.
+type TokenHolder struct {
+	_      struct{} `cbor:",toarray"`
+	Token  uint32
+	Known  bool
+	Server ServerID
+	// Age is how long ago the server was removed at the responding instance, in
+	// milliseconds; 0 if it is known.
+	Age uint32
+}
+
+// TokensRequest returns the request for the tokens whose holder is not known here, in
+// order. rev is the revision of the server records.
+func (lb *Balancer) TokensRequest(rev revs.Rev) TokensRequest {
+	req := TokensRequest{Rev: rev}
+	for token, c := range lb.tokens.shared {
+		if c.contested && !c.resolved {
+			req.Tokens = append(req.Tokens, token)
+		}
+	}
+	slices.Sort(req.Tokens)
+	req.Tokens = req.Tokens[:min(len(req.Tokens), maxTokensAsked)]
+	return req
+}
+
+// TokensResponse answers another instance. rev is the revision of the server records here.
+func (lb *Balancer) TokensResponse(now time.Time, rev revs.Rev, req *TokensRequest) TokensResponse {
+	res := TokensResponse{Settled: lb.tokens.settled && rev >= req.Rev}
+	add := func(token uint32, holder ServerID, known bool, until time.Time) {
+		if len(res.Holders) < maxTokenHolders {
+			age := max(tokenMemory-until.Sub(now), 0)
+			res.Holders = append(res.Holders, TokenHolder{Token: token, Known: known, Server: holder, Age: uint32(age / time.Millisecond)})
+		}
+	}
+	latest := now.Add(tokenMemory)
+	for _, token := range req.Tokens[:min(len(req.Tokens), maxTokensAsked)] {
+		if srv := lb.tokens.owners[token]; srv != nil && !lb.tokens.contested(token) {
+			add(token, srv.ID, true, latest)
+		}
+	}
+	for token, c := range lb.tokens.shared {
+		switch {
+		case !c.contested:
+		case c.alone() || c.resolved && !c.holderKnown():
+			add(token, c.holder, c.resolved, c.until)
+		default:
+			add(token, c.holder, c.resolved, latest)
+		}
+	}
+	lb.addRemovedHolders(now, add)
+	return res
+}
+
+// addRemovedHolders adds the tokens of servers without a record, which the requesting
+// instance may not know.
+func (lb *Balancer) addRemovedHolders(now time.Time, add func(token uint32, holder ServerID, known bool, until time.Time)) {
+	if lb.removedServers > 0 {
+		for _, srv := range lb.byName {
+			for _, token := range tokens(srv.ID) {
+				if !srv.removedAt.IsZero() && lb.tokens.owners[token] == srv && !lb.tokens.contested(token) {
+					add(token, srv.ID, true, now.Add(tokenMemory))
+				}
+			}
+		}
+	}
+	for token, r := range lb.tokens.removed.byToken {
+		if now.Before(r.until) && lb.tokens.owners[token] == nil && lb.tokens.shared[token] == nil {
+			add(token, r.id, r.known, r.until)
+		}
+	}
+}
+
+// ApplyHolders takes over the holders of tokens from another instance. It returns how many
+// were ignored because their server does not have the token, or there are too many. It
+// does nothing once this instance is settled.
+func (lb *Balancer) ApplyHolders(now time.Time, holders []TokenHolder) (ignored int) {
+	if lb.tokens.settled {
+		return 0
+	}
+	for i, h := range holders {
+		age := time.Duration(h.Age) * time.Millisecond
+		if i >= maxTokenHolders || h.Known && !idHasToken(h.Server, h.Token) {
+			ignored++
+			continue
+		}
+		if age < tokenMemory {
+			lb.tokens.setHolder(now, h.Token, removedToken{id: h.Server, known: h.Known, learned: true, until: now.Add(tokenMemory - age)})
+		}
+	}
+	return ignored
+}
+
+// SettleTokens records that this instance knows which servers hold tokens as far as others
+// told it, and may tell others.
+func (lb *Balancer) SettleTokens() { lb.tokens.settled = true }
+
+// TokensSettled reports whether SettleTokens was called.
+func (lb *Balancer) TokensSettled() bool { return lb.tokens.settled }
--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -83,7 +83,7 @@
 	srv := lb.byName[c.Name]
 	if srv != nil && replaced(&srv.Server, &c.Value) {
 		// The server restarted or moved, so nothing known about it is valid.
-		lb.dropServer(srv)
+		lb.dropServer(now, srv)
 		srv = nil
 	}
 	switch {
@@ -122,12 +122,10 @@
 	}
 	if old := lb.expired[srv.Addr]; old != nil {
 		lb.Log.Info("address of a silent server in use again", "server", old.name, "by", srv.name, "rev", c.Rev)
-		lb.dropServer(old)
+		lb.dropServer(now, old)
 	}
 	lb.byName[c.Name] = srv
-	for _, other := range lb.tokens.claim(srv) {
-		lb.Log.Warn("server lost a token to one that started earlier", "server", other.name, "to", srv.name, "rev", srv.Rev)
-	}
+	lb.tokens.claim(now, srv)
 	if srv.token == 0 {
 		lb.Log.Warn("server has no free token and gets no flows", "server", srv.name, "rev", srv.Rev)
 	}
@@ -169,7 +167,7 @@
 const confirmationLag = time.Second
 
 // dropServer removes a server. Later packets of its flows are refused.
-func (lb *Balancer) dropServer(srv *server) {
+func (lb *Balancer) dropServer(now time.Time, srv *server) {
 	delete(lb.byName, srv.name)
 	p := lb.pool(srv.Service)
 	p.remove(srv)
@@ -182,7 +180,10 @@
 	if lb.expired[srv.Addr] == srv {
 		delete(lb.expired, srv.Addr)
 	}
-	for _, token := range lb.tokens.release(srv) {
-		lb.removedTokens.add(token)
+	rememberedFrom := now
+	if !srv.removedAt.IsZero() {
+		// Instances drop it at different times if it still answers flows of some.
+		rememberedFrom = srv.removedAt.Add(lb.Limits.RemovalGrace)
 	}
+	lb.tokens.release(now, srv, rememberedFrom.Add(tokenMemory))
 }
--- a/pkg/router/token.go
+++ b/pkg/router/token.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"log/slog"
 	"slices"
 	"time"
 )
@@ -15,9 +16,6 @@
 	maxUnknownTokens = 4096
 	// unknownTokenTTL is how long an unknown token is remembered.
 	unknownTokenTTL = 30 * time.Second
-	// maxRemovedTokens is the number of tokens of removed servers that are
-	// remembered.
-	maxRemovedTokens = 4096
 )
 
 // tokens returns the possible tokens of a server in order of preference. The
@@ -33,69 +31,87 @@
 }
 
 // hasToken reports whether a token is one of the server's.
-func (srv *server) hasToken(token uint32) bool {
-	all := tokens(srv.ID)
+func (srv *server) hasToken(token uint32) bool { return idHasToken(srv.ID, token) }
+
+func idHasToken(id ServerID, token uint32) bool {
+	all := tokens(id)
 	return slices.Contains(all[:], token)
 }
 
-// tokenTable says which server a token belongs to. Of all servers that have a token
-// among theirs, it is the one that started first. That depends only on the servers,
-// not on the order in which an instance learns of them, so instances that know the
-// same servers agree, and a new server takes no token from an earlier one.
+// tokenTable says which server the packets with a token go to. New flows get only
+// tokens that a single server has; contest.go has the rules for the others.
 type tokenTable struct {
+	log    *slog.Logger
 	owners map[uint32]*server
-	// others holds, for the few tokens of several servers, those that do not own it.
-	others map[uint32][]*server
+	// shared holds the few tokens of several records, or of a remembered server too.
+	shared  map[uint32]*sharedToken
+	removed removedTokens
+	// firstAt is when the first servers were listed.
+	firstAt time.Time
+	// settled is set when other instances told which servers hold tokens, or did
+	// not answer in time.
+	settled bool
 }
 
-func (t *tokenTable) start() { t.owners, t.others = map[uint32]*server{}, map[uint32][]*server{} }
+func (t *tokenTable) start(log *slog.Logger) {
+	t.log, t.owners, t.shared = log, map[uint32]*server{}, map[uint32]*sharedToken{}
+	t.removed.start()
+}
 
-// owner returns the server of a token, or nil if it belongs to none.
+// owner returns the server that gets the packets with a token, or nil.
 func (t *tokenTable) owner(token uint32) *server { return t.owners[token] }
 
-// compareStarts orders servers by the start of their processes.
-func compareStarts(a, b *server) int {
-	return cmp.Or(a.StartedAt.Compare(b.StartedAt), cmp.Compare(a.ID, b.ID), cmp.Compare(a.name, b.name))
+// contested reports whether a token is among those of several servers.
+func (t *tokenTable) contested(token uint32) bool {
+	c := t.shared[token]
+	return c != nil && c.contested
 }
 
-// claim adds a server and sets the token that its new flows get. It returns the
-// servers from which it took a token.
-func (t *tokenTable) claim(srv *server) (displaced []*server) {
+// compareRecords orders records of one server by the start that they give.
+func compareRecords(a, b *server) int {
+	return cmp.Or(a.StartedAt.Compare(b.StartedAt), cmp.Compare(a.name, b.name))
+}
+
+// claim adds a server and sets the token that its new flows get.
+func (t *tokenTable) claim(now time.Time, srv *server) {
+	if t.firstAt.IsZero() {
+		t.firstAt = now
+	}
 	if other := t.find(tokens(srv.ID)[0], func(o *server) bool { return o.ID == srv.ID }); other != nil {
 		other.sharesID, srv.sharesID = true, true
 	}
 	for _, token := range tokens(srv.ID) {
-		owner := t.owners[token]
+		owner, c := t.owners[token], t.shared[token]
+		r, remembered := t.removed.get(now, token)
 		switch {
-		case owner == srv:
-		case owner == nil:
-			t.owners[token] = srv
-		case compareStarts(srv, owner) < 0:
-			t.owners[token] = srv
-			t.others[token] = append(t.others[token], owner)
-			t.choose(owner)
-			displaced = append(displaced, owner)
+		case c != nil:
+			t.join(now, token, c, srv)
+		case owner != nil:
+			c = &sharedToken{servers: []*server{owner}, holder: owner.ID}
+			t.shared[token] = c
+			t.join(now, token, c, srv)
+		case remembered && (!r.known || r.id != srv.ID):
+			c = &sharedToken{servers: []*server{srv}, contested: true, holder: r.id, resolved: r.known, until: r.until}
+			t.shared[token] = c
+			t.contestBegan(token, c, srv)
 		default:
-			t.others[token] = append(t.others[token], srv)
+			t.owners[token] = srv
 		}
 	}
 	t.choose(srv)
-	return displaced
 }
 
 // choose sets the token that new flows of a server get: the one that it has if it
-// owns that, else the first one that it owns, or 0 if it owns none. Instances may
-// choose different ones, but all forward each of them to the same server.
+// still may be given out, else the first such one, or 0 if there is none.
 func (t *tokenTable) choose(srv *server) {
-	if srv.token != 0 && t.owners[srv.token] == srv {
+	free := func(token uint32) bool { return t.owners[token] == srv && !t.contested(token) }
+	if srv.token != 0 && free(srv.token) {
 		return
 	}
 	srv.token = 0
-	for _, token := range tokens(srv.ID) {
-		if t.owners[token] == srv {
-			srv.token = token
-			return
-		}
+	all := tokens(srv.ID)
+	if i := slices.IndexFunc(all[:], free); i >= 0 {
+		srv.token = all[i]
 	}
 }
 
@@ -104,8 +120,10 @@
 	if owner := t.owners[token]; owner != nil && match(owner) {
 		return owner
 	}
-	if i := slices.IndexFunc(t.others[token], match); i >= 0 {
-		return t.others[token][i]
+	if c := t.shared[token]; c != nil {
+		if i := slices.IndexFunc(c.servers, match); i >= 0 {
+			return c.servers[i]
+		}
 	}
 	return nil
 }
@@ -119,54 +137,14 @@
 	return t.find(tokens(srv.ID)[0], func(o *server) bool { return o.ID == srv.ID && o.Leaving }) != nil
 }
 
-// release removes a server and returns the tokens that belong to no server any more.
-func (t *tokenTable) release(srv *server) (unowned []uint32) {
+// release removes a server. Its tokens are remembered until a time.
+func (t *tokenTable) release(now time.Time, srv *server, until time.Time) {
 	for _, token := range tokens(srv.ID) {
-		others := slices.DeleteFunc(t.others[token], func(o *server) bool { return o == srv })
-		if t.owners[token] == srv {
-			if len(others) == 0 {
-				delete(t.owners, token)
-				unowned = append(unowned, token)
-				continue
-			}
-			next := slices.MinFunc(others, compareStarts)
-			others = slices.DeleteFunc(others, func(o *server) bool { return o == next })
-			t.owners[token] = next
-			t.choose(next)
-		}
-		if len(others) == 0 {
-			delete(t.others, token)
-		} else {
-			t.others[token] = others
+		if c := t.shared[token]; c != nil {
+			t.part(now, token, c, srv, until)
+			continue
 		}
+		delete(t.owners, token)
+		t.removed.add(token, removedToken{id: srv.ID, known: true, until: until})
 	}
-	return unowned
-}
-
-// tokenSet holds the latest maxRemovedTokens tokens of removed servers.
-type tokenSet struct {
-	set  map[uint32]bool
-	ring []uint32
-	next int
-}
-
-func (t *tokenSet) start() {
-	t.set = map[uint32]bool{}
-	t.ring = make([]uint32, 0, 64)
-}
-
-func (t *tokenSet) has(token uint32) bool { return t.set[token] }
-
-func (t *tokenSet) add(token uint32) {
-	if t.set[token] {
-		return
-	}
-	if len(t.ring) < maxRemovedTokens {
-		t.ring = append(t.ring, token)
-	} else {
-		delete(t.set, t.ring[t.next])
-		t.ring[t.next] = token
-		t.next = (t.next + 1) % maxRemovedTokens
-	}
-	t.set[token] = true
 }
--- a/pkg/router/token_test.go
+++ b/pkg/router/token_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"ebonypaddle/pkg/logs"
 )
 
 // collidingRecords returns records of servers that share tokens: the first three have the same
@@ -67,6 +70,8 @@
 	later := gone.Add(old.Limits.RemovalGrace)
 	old.Tick(later)
 	restarted := newBalancer(records[1])
+	old.SettleTokens()
+	tellHolders(t, later, old, restarted)
 	runTicks(restarted, startTime, later)
 	d := newCaller(restarted, 7, serviceAddr)
 	assertForwarded(t, d.open(later, 0))
@@ -80,41 +85,86 @@
 	}
 }
 
-// Guards against tokens that are left behind, or given up while a server needs them,
-// as servers with common tokens come and go.
+// tellHolders lets an instance ask another one which servers hold tokens.
+func tellHolders(t *testing.T, now time.Time, from, to *Balancer) {
+	t.Helper()
+	req := to.TokensRequest(0)
+	res := from.TokensResponse(now, 0, &req)
+	assert.Assert(t, res.Settled)
+	assert.Equal(t, to.ApplyHolders(now, res.Holders), 0)
+}
+
+// Guards against tokens that are left behind, or are given out while a server that has
+// them is known or remembered, as servers with common tokens come and go.
 func TestTokensOfServersThatComeAndGo(t *testing.T) {
 	records := collidingRecords(t)
 	rnd := rand.New(rand.NewPCG(1, 2))
 	var table tokenTable
-	table.start()
+	table.start(logs.OrDiscard(nil))
+	now := startTime
 	present := map[ServerID]*server{}
-	for range 2000 {
+	given := map[ServerID]map[uint32]time.Time{} // when a server last got a token
+	for _, r := range records {
+		given[r.Value.ID] = map[uint32]time.Time{}
+	}
+	for range 20000 {
+		now = now.Add(time.Duration(rnd.IntN(40)) * time.Second)
+		table.expire(now)
 		r := records[rnd.IntN(len(records))]
 		if srv := present[r.Value.ID]; srv != nil {
-			for _, token := range table.release(srv) {
-				assert.Assert(t, table.owner(token) == nil)
-			}
+			table.release(now, srv, now.Add(tokenMemory))
 			delete(present, r.Value.ID)
 		} else {
-			srv = &server{Server: r.Value, name: r.Name}
-			table.claim(srv)
+			srv = &server{Server: r.Value, name: r.Name, addedAt: now}
+			table.claim(now, srv)
 			present[r.Value.ID] = srv
 		}
-		var fresh tokenTable
-		fresh.start()
-		for _, r := range records {
-			if present[r.Value.ID] != nil {
-				fresh.claim(&server{Server: r.Value, name: r.Name})
+		assertTokensComplete(t, &table, present)
+		for id, srv := range present {
+			assert.Assert(t, table.owner(srv.token) == srv)
+			given[id][srv.token] = now
+			for other := range given {
+				if other == id {
+					continue
+				}
+				at, ok := given[other][srv.token]
+				assert.Assert(t, !ok || now.Sub(at) >= maxExpired, "token of flows of %x given to %x", other, id)
+				assert.Assert(t, present[other] == nil || !idHasToken(other, srv.token), "token of %x given to %x", other, id)
 			}
 		}
-		assert.Equal(t, len(table.owners), len(fresh.owners))
-		for token, srv := range fresh.owners {
-			assert.Equal(t, table.owner(token).ID, srv.ID)
-		}
-		for _, srv := range present {
-			assert.Assert(t, table.owner(srv.token) == srv)
+	}
+	now = now.Add(tokenMemory)
+	table.expire(now)
+	for _, srv := range present {
+		table.release(now, srv, now)
+	}
+	assert.Equal(t, len(table.owners)+len(table.shared), 0)
+}
+
+// assertTokensComplete checks that a table has exactly the tokens of some servers, and that
+// every token that one of them alone has, and every holder's, is its own.
+func assertTokensComplete(t *testing.T, table *tokenTable, present map[ServerID]*server) {
+	t.Helper()
+	have := map[uint32]int{}
+	for id, srv := range present {
+		for _, token := range tokens(id) {
+			have[token]++
+			c := table.shared[token]
+			if c == nil {
+				assert.Assert(t, table.owner(token) == srv)
+				continue
+			}
+			assert.Assert(t, slices.Contains(c.servers, srv))
+			if owner := table.owner(token); owner != nil {
+				assert.Equal(t, owner.ID, c.holder)
+			}
 		}
-		assert.Equal(t, len(table.others), len(fresh.others))
+	}
+	for token := range table.owners {
+		assert.Assert(t, have[token] > 0)
+	}
+	for token, c := range table.shared {
+		assert.Equal(t, len(c.servers), have[token])
 	}
 }
 
--- a/pkg/wire/reason.go
+++ b/pkg/wire/reason.go
@@ -39,6 +39,7 @@
 	ReasonRetryShed
 	ReasonSendFailed
 	ReasonServerLeft
+	ReasonTokenContested
 	reasonEnd
 )
 
@@ -78,6 +79,7 @@
 	ReasonRetryShed:      "retryShed",
 	ReasonSendFailed:     "sendFailed",
 	ReasonServerLeft:     "serverLeft",
+	ReasonTokenContested: "tokenContested",
 }
 
 // String returns the name of the reason as used in counters and reports.
