router: a restored store does not bring back a server that left

Nothing remembered the last record of a dropped server.

The last records of dropped processes, by ID and start, are remembered: 16,384 of those that reported that they leave, and 4,096 others, so that an outage in which thousands of records expire does not displace the first. An earlier record of such a process counts as its last one: the server keeps its open flows and gets no new ones if it had left. Servers that do not say when they started are left out, as records of their next process look the same.

TestServerThatLeftIsListedAgain fails without the change. An instance that starts after the process ended still uses the record that a restored store lists.

--- a/pkg/router/balancer.go
+++ b/pkg/router/balancer.go
@@ -79,6 +79,7 @@
 	tokens           tokenTable
 	pools            map[string]*pool
 	flows            flowTable
+	ended            endedProcesses
 	unknownTokens    map[uint32]time.Time // by token, with the time of its first packet
 	domains          map[string]*domain
 	pendingOpenings  []pendingOpening // oldest first; those before nextPending are done
@@ -113,6 +114,7 @@
 	lb.marks.start()
 	lb.byName = map[string]*server{}
 	lb.tokens.start(lb.Log)
+	lb.ended.start()
 	lb.pools = map[string]*pool{}
 	lb.unknownTokens = map[uint32]time.Time{}
 	lb.domains = map[string]*domain{}
--- a/pkg/router/contest_test.go
+++ b/pkg/router/contest_test.go
@@ -219,7 +219,7 @@
 		many[i] = TokenHolder{Token: tokens(id)[0], Known: true, Server: id}
 	}
 	assert.Equal(t, next.ApplyHolders(c.now, many), 5)
-	assert.Equal(t, len(next.tokens.removed.byToken), maxRemovedTokens)
+	assert.Equal(t, len(next.tokens.removed.values), maxRemovedTokens)
 	next.SettleTokens()
 	assert.Equal(t, next.ApplyHolders(c.now, bad), 0)
 	assert.Equal(t, next.tokens.owner(c.sharedToken).ID, c.one.Value.ID)
--- a/pkg/router/removed.go
+++ b/pkg/router/removed.go
@@ -19,35 +19,18 @@
 }
 
 // removedTokens holds the latest maxRemovedTokens tokens of removed servers.
-type removedTokens struct {
-	byToken map[uint32]removedToken
-	ring    []uint32
-	next    int
-}
+type removedTokens struct{ recent[uint32, removedToken] }
 
-func (t *removedTokens) start() { t.byToken = map[uint32]removedToken{} }
+func (t *removedTokens) start() { t.recent = newRecent[uint32, removedToken](maxRemovedTokens) }
 
 // has reports whether this instance removed a server with a token.
 func (t *removedTokens) has(token uint32) bool {
-	r, ok := t.byToken[token]
+	r, ok := t.values[token]
 	return ok && !r.learned
 }
 
 // get returns which server held a token, if no other one may get it yet.
 func (t *removedTokens) get(now time.Time, token uint32) (removedToken, bool) {
-	r, ok := t.byToken[token]
+	r, ok := t.values[token]
 	return r, ok && now.Before(r.until)
 }
-
-func (t *removedTokens) add(token uint32, r removedToken) {
-	if _, ok := t.byToken[token]; !ok {
-		if len(t.ring) < maxRemovedTokens {
-			t.ring = append(t.ring, token)
-		} else {
-			delete(t.byToken, t.ring[t.next])
-			t.ring[t.next] = token
-			t.next = (t.next + 1) % maxRemovedTokens
-		}
-	}
-	t.byToken[token] = r
-}
--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -88,6 +88,10 @@
 	}
 	switch {
 	case srv == nil:
+		if last, ok := lb.ended.last(&c.Value); ok && c.Value.Sequence < last.sequence {
+			lb.Log.Info("older server record ignored", "server", c.Name, "leaving", last.leaving, "rev", c.Rev)
+			c.Value.Sequence, c.Value.Leaving = last.sequence, last.leaving
+		}
 		srv = lb.addServer(now, c)
 		if logNew {
 			lb.Log.Info("server added", "server", c.Name, "service", srv.Service, "domain", srv.Domain, "addr", srv.Addr, "leaving", srv.Leaving, "coldFor", srv.ColdTimeLeft, "rev", c.Rev)
@@ -169,6 +173,7 @@
 // dropServer removes a server. Later packets of its flows are refused.
 func (lb *Balancer) dropServer(now time.Time, srv *server) {
 	delete(lb.byName, srv.name)
+	lb.ended.add(&srv.Server)
 	p := lb.pool(srv.Service)
 	p.remove(srv)
 	if len(p.local)+len(p.remote) == 0 {
