router: the test of histories fails if no contested token is used

TestFlowsStayAtTheirServer would have passed if packets with contested tokens were all dropped.

Not in the histories: a store that comes back from an older copy (TestTokenInARestoredStore has it), and the rule of the version before: instances of that version answer no question, and flows that they open are not checked.

--- a/pkg/router/history_test.go
+++ b/pkg/router/history_test.go
@@ -57,7 +57,9 @@
 	instances []*historyInstance
 	flows     []*historyFlow
 	port      uint16
-	forwarded int
+	// forwarded and dropped count packets, contested those forwarded by the holder of
+	// a contested token.
+	forwarded, contested, dropped int
 }
 
 func newHistory(t *testing.T) *historyModel {
@@ -310,6 +312,9 @@
 	switch v := f.c.data(m.now, offset, 1, offset); v.Action {
 	case Forward:
 		m.forwarded++
+		if i.lb.tokens.contested(f.c.token) {
+			m.contested++
+		}
 		if v.To.Server != f.server.record.Value.ID {
 			n := slices.IndexFunc(m.servers, func(s *historyServer) bool { return s.record.Value.ID == v.To.Server })
 			assert.Assert(t, !m.servers[n].alive, "packet of a flow of %x sent to %x, token %d", f.server.record.Value.ID, v.To.Server, f.c.token)
@@ -319,6 +324,7 @@
 		// until it learns of a new record. TestUnknownToken and others check that.
 		assert.Assert(t, i.removed[f.server.record.Name] && v.Reason != wire.ReasonTimeout, "packet of a flow of %x refused: %v", f.server.record.Value.ID, v.Reason)
 	case Drop:
+		m.dropped++
 	}
 }
 
@@ -329,11 +335,18 @@
 // lagged; flows that an instance opens although it started within NewServerDelay after the
 // server's record came, or did not learn yet that the server started again.
 func TestFlowsStayAtTheirServer(t *testing.T) {
-	forwarded, steps := 0, 0
-	defer func() { t.Logf("%d steps, %d packets forwarded", steps, forwarded) }()
+	var total historyModel
+	steps := 0
+	defer func() {
+		t.Logf("%d steps, %d packets forwarded, %d of them with a contested token, %d dropped", steps, total.forwarded, total.contested, total.dropped)
+	}()
 	rapid.Check(t, func(rt *rapid.T) {
 		m := newHistory(t)
-		defer func() { forwarded += m.forwarded }()
+		defer func() {
+			total.forwarded += m.forwarded
+			total.contested += m.contested
+			total.dropped += m.dropped
+		}()
 		rt.Repeat(map[string]func(*rapid.T){
 			"start server": m.startServer, "stop server": m.stopServer, "lapse": m.lapse, "renew": m.renew,
 			"restart instance": m.restartInstance, "ask": m.ask, "ask again": m.ask, "lag": m.lag,
@@ -351,4 +364,5 @@
 			},
 		})
 	})
+	assert.Assert(t, total.contested > 0, "no packet had a contested token")
 }
