router: a removed server holds its tokens as long as its flows last

Instances learn of a removal at different times. One forgot the holder of a contested token, gave the token to flows of the other server, and the holder came back: instances that had learned of the removal later still remembered it as the holder and sent it packets of the other server's open flows.

A holder without a record now counts for maxExpired. From then until it is forgotten, maxInstanceLag later, the contest is unresolved: packets are dropped and the token is not given out. TestInstancesForgetAHolderAtDifferentTimes fails without the change.

--- a/pkg/router/contest.go
+++ b/pkg/router/contest.go
@@ -14,7 +14,9 @@
 
 const (
 	// tokenMemory is how long the tokens of a removed server are remembered: the
-	// longest time for which its flows go on, and maxInstanceLag.
+	// longest time for which its flows go on, and maxInstanceLag. During the latter
+	// another instance may have forgotten it already and given the token to flows of
+	// another server, so the removed server does not hold the token any more.
 	tokenMemory = maxExpired + maxInstanceLag
 	// maxInstanceLag is how much later an instance may learn that a server was
 	// removed than another one.
@@ -34,6 +36,16 @@
 	until time.Time
 }
 
+// forgetHolder makes a contest unresolved once the flows of a holder without a record have
+// ended, and reports whether it did.
+func (c *sharedToken) forgetHolder(now time.Time) bool {
+	if !c.contested || !c.resolved || c.holderKnown() || now.Before(c.until.Add(-maxInstanceLag)) {
+		return false
+	}
+	c.resolved = false
+	return true
+}
+
 // known reports whether a server with an ID is among the servers.
 func (c *sharedToken) known(id ServerID) bool {
 	return slices.ContainsFunc(c.servers, func(o *server) bool { return o.ID == id })
@@ -49,6 +61,7 @@
 
 // join adds a server to those of a token.
 func (t *tokenTable) join(now time.Time, token uint32, c *sharedToken, srv *server) {
+	c.forgetHolder(now)
 	if !c.contested && srv.ID != c.holder {
 		c.contested = true
 		c.resolved = t.knownBefore(now, token, c)
@@ -64,7 +77,7 @@
 // confirmationLag, or remembers that it had the token. Of servers that are learned
 // together, another instance may have learned either one first.
 func (t *tokenTable) knownBefore(now time.Time, token uint32, c *sharedToken) bool {
-	if r, ok := t.removed.get(now, token); ok && r.known && r.id == c.holder {
+	if r, ok := t.removed.get(now, token); ok && r.holds(now) && r.id == c.holder {
 		return true
 	}
 	return slices.ContainsFunc(c.servers, func(o *server) bool {
@@ -114,9 +127,13 @@
 	}
 }
 
-// expire ends contests with servers that are no longer remembered.
+// expire makes contests unresolved whose holder has no flows left, and ends those with
+// servers that are no longer remembered.
 func (t *tokenTable) expire(now time.Time) {
 	for token, c := range t.shared {
+		if c.forgetHolder(now) {
+			t.update(now, token, c)
+		}
 		if c.contested && !c.holderKnown() && !c.until.IsZero() && !now.Before(c.until) {
 			c.resolved, c.until = false, time.Time{}
 			t.update(now, token, c)
@@ -137,7 +154,7 @@
 	}
 	began := !c.contested
 	t.shared[token] = c
-	c.contested, c.resolved, c.holder, c.until = true, r.known, r.id, r.until
+	c.contested, c.resolved, c.holder, c.until = true, r.holds(now), r.id, r.until
 	if began {
 		t.contestBegan(token, c, c.servers[0])
 	}
--- a/pkg/router/contest_test.go
+++ b/pkg/router/contest_test.go
@@ -36,6 +36,14 @@
 	return c
 }
 
+// sameServers returns another instance that knows some servers as long as this one.
+func (c *contestTest) sameServers(servers ...Change[Server]) *contestTest {
+	other := *c
+	other.lb = newBalancer(servers...)
+	runTicks(other.lb, startTime, c.now)
+	return &other
+}
+
 // wait lets time pass at the instance.
 func (c *contestTest) wait(d time.Duration) {
 	end := c.now.Add(d)
@@ -224,3 +232,48 @@
 	assert.Equal(t, next.ApplyHolders(c.now, bad), 0)
 	assert.Equal(t, next.tokens.owner(c.sharedToken).ID, c.one.Value.ID)
 }
+
+// Guards against a packet of an open flow that goes to a server that came back, at an
+// instance that learned of its removal later than the one that opened the flow elsewhere.
+func TestInstancesForgetAHolderAtDifferentTimes(t *testing.T) {
+	for _, lag := range []time.Duration{0, 3 * time.Second, 20 * time.Second, maxInstanceLag - time.Second} {
+		for _, early := range []bool{false, true} {
+			t.Run(fmt.Sprint(lag, early), func(t *testing.T) {
+				a := newContest(t)
+				b := a.sameServers(a.one)
+				a.remove(&a.one)
+				a.wait(lag)
+				b.wait(lag)
+				b.remove(&b.one)
+				rest := a.lb.Limits.RemovalGrace + tokenMemory - lag + 100*time.Millisecond
+				for _, i := range []*contestTest{a, b} {
+					if early {
+						i.wait(time.Second)
+						i.put(&i.two)
+						i.wait(rest - time.Second)
+					} else {
+						i.wait(rest)
+						i.put(&i.two)
+					}
+					i.wait(1500 * time.Millisecond)
+				}
+				if early { // a server keeps its other token at a
+					a = a.restart(t, true, a.two)
+					a.wait(1500 * time.Millisecond)
+				}
+				f := newCaller(a.lb, 7000, serviceAddr)
+				assertForwarded(t, f.open(a.now, 0))
+				assert.Equal(t, f.token, a.sharedToken)
+				for _, i := range []*contestTest{a, b} {
+					i.put(&i.one)
+					i.wait(500 * time.Millisecond)
+					f.lb = i.lb
+					v := f.data(i.now, 100, 1, 100)
+					assert.Assert(t, v.Action != Refuse)
+					assert.Assert(t, v.Action == Drop || v.To.Server == a.two.Value.ID, "sent to %x", v.To.Server)
+				}
+				assert.Equal(t, a.lb.tokens.owner(a.sharedToken).ID, a.two.Value.ID)
+			})
+		}
+	}
+}
--- a/pkg/router/removed.go
+++ b/pkg/router/removed.go
@@ -34,3 +34,9 @@
 	r, ok := t.values[token]
 	return r, ok && now.Before(r.until)
 }
+
+// holds reports whether flows of the removed server may have the token, and no flows of
+// another one.
+func (r *removedToken) holds(now time.Time) bool {
+	return r.known && now.Before(r.until.Add(-maxInstanceLag))
+}
--- a/pkg/router/token.go
+++ b/pkg/router/token.go
@@ -91,7 +91,7 @@
 			t.shared[token] = c
 			t.join(now, token, c, srv)
 		case remembered && (!r.known || r.id != srv.ID):
-			c = &sharedToken{servers: []*server{srv}, contested: true, holder: r.id, resolved: r.known, until: r.until}
+			c = &sharedToken{servers: []*server{srv}, contested: true, holder: r.id, resolved: r.holds(now), until: r.until}
 			t.shared[token] = c
 			t.contestBegan(token, c, srv)
 		default:
