router, relay: an instance that was told nothing does not answer for others

An instance whose requests for the holders of tokens all failed counted as settled. The next one that started took its answer for complete and stopped asking, although a third instance knew the holder; packets of open flows went to another server.

An instance is settled if another settled one told it, or once it has known the servers for tokenMemory.

--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -79,8 +79,10 @@
 	// Clock returns the monotonic time.
 	Clock    func() time.Time
 	Shutdown ShutdownTimes
-	Balancer *router.Balancer
-	Log      *slog.Logger
+	// TokenPauses are set to others in tests.
+	TokenPauses TokenPauses
+	Balancer    *router.Balancer
+	Log         *slog.Logger
 	// Counters count packets and requests.
 	Counters Counters
 	// Debug serves the variables of Vars at the address Metrics. Without Debug
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -107,9 +107,10 @@
 	r := &Relay{
 		Name: name, Weight: weight, Data: freeAddr(t), Ready: freeAddr(t), Control: freeAddr(t), ReadyPath: "/ready", Seeds: seeds, Codec: fakeCodec{},
 		Store: storeView{s, name}, Decoder: versionDecoder{}, MaxPacket: 1500, Clock: time.Now, Log: slog.New(slog.DiscardHandler),
-		ReadPolicy: cache.ReadPolicy{StartedAt: time.Now(), MaxDelay: 3 * time.Second},
-		Shutdown:   ShutdownTimes{Max: 2 * time.Second, Min: 100 * time.Millisecond, Idle: 50 * time.Millisecond},
-		Balancer:   &router.Balancer{Domain: "a", Seed: uint64(weight)},
+		ReadPolicy:  cache.ReadPolicy{StartedAt: time.Now(), MaxDelay: 3 * time.Second},
+		Shutdown:    ShutdownTimes{Max: 2 * time.Second, Min: 100 * time.Millisecond, Idle: 50 * time.Millisecond},
+		Balancer:    &router.Balancer{Domain: "a", Seed: uint64(weight)},
+		TokenPauses: TokenPauses{Min: time.Millisecond, Max: 5 * time.Millisecond},
 	}
 	r.Balancer.Start(time.Now())
 	ctx, cancel := context.WithCancel(t.Context())
--- a/pkg/router/contest_test.go
+++ b/pkg/router/contest_test.go
@@ -277,3 +277,18 @@
 		}
 	}
 }
+
+// Guards against an instance that got no answer to its requests and passes for one that
+// knows all holders, so that the next one that starts stops asking there.
+func TestInstanceThatWasNotToldDoesNotTell(t *testing.T) {
+	c := newContest(t)
+	c.remove(&c.one)
+	c.wait(10 * time.Second)
+	untold := c.restart(t, false, c.two)
+	untold.wait(tokenMemory - time.Second)
+	res := untold.lb.TokensResponse(untold.now, 0, &TokensRequest{})
+	assert.Assert(t, !res.Settled)
+	untold.wait(2 * time.Second)
+	res = untold.lb.TokensResponse(untold.now, 0, &TokensRequest{})
+	assert.Assert(t, res.Settled)
+}
--- a/pkg/router/holders.go
+++ b/pkg/router/holders.go
@@ -27,8 +27,8 @@
 // record, and of the tokens asked for.
 type TokensResponse struct {
 	_ struct{} `cbor:",toarray"`
-	// Settled is set if the responding instance knows what others told it, and the
-	// records of the requesting instance. Its response is complete then.
+	// Settled is set if TokensSettled is true at the responding instance, and it knows
+	// the records of the requesting instance. Its response is complete then.
 	Settled bool
 	Holders []TokenHolder
 }
@@ -61,7 +61,7 @@
 
 // TokensResponse answers another instance. rev is the revision of the server records here.
 func (lb *Balancer) TokensResponse(now time.Time, rev revs.Rev, req *TokensRequest) TokensResponse {
-	res := TokensResponse{Settled: lb.tokens.settled && rev >= req.Rev}
+	res := TokensResponse{Settled: lb.TokensSettled(now) && rev >= req.Rev}
 	add := func(token uint32, holder ServerID, known bool, until time.Time) {
 		if len(res.Holders) < maxTokenHolders {
 			age := max(tokenMemory-until.Sub(now), 0)
@@ -126,9 +126,14 @@
 	return ignored
 }
 
-// SettleTokens records that this instance knows which servers hold tokens as far as others
-// told it, and may tell others.
+// SettleTokens records that other instances told this one which servers hold tokens, so
+// that it may tell others. An instance that only stopped asking may not: it does not know
+// the servers that were removed before its first list.
 func (lb *Balancer) SettleTokens() { lb.tokens.settled = true }
 
-// TokensSettled reports whether SettleTokens was called.
-func (lb *Balancer) TokensSettled() bool { return lb.tokens.settled }
+// TokensSettled reports whether this instance knows which servers hold tokens: others told
+// it, or it has known the servers for as long as removed ones are remembered.
+func (lb *Balancer) TokensSettled(now time.Time) bool {
+	t := &lb.tokens
+	return t.settled || !t.firstAt.IsZero() && now.Sub(t.firstAt) >= tokenMemory
+}
--- a/pkg/router/token.go
+++ b/pkg/router/token.go
@@ -48,8 +48,7 @@
 	removed removedTokens
 	// firstAt is when the first servers were listed.
 	firstAt time.Time
-	// settled is set when other instances told which servers hold tokens, or did
-	// not answer in time.
+	// settled is set when other instances told which servers hold tokens.
 	settled bool
 }
 
