--- a/pkg/router/contest.go
+++ b/pkg/router/contest.go
@@ -74,8 +74,10 @@
 }
 
 // knownBefore reports whether this instance knew the holder of a token for
-// confirmationLag, or remembers that it had the token. Of servers that are learned
-// together, another instance may have learned either one first.
+// confirmationLag, or remembers that it had the token. Lists and watches of the store are
+// linearizable and in order, so all instances that see single changes learn of servers in
+// one order, though at different times. A list has no order of its records: of servers that are
+// learned together, another instance may have learned either one first.
 func (t *tokenTable) knownBefore(now time.Time, token uint32, c *sharedToken) bool {
 	if r, ok := t.removed.get(now, token); ok && r.holds(now) && r.id == c.holder {
 		return true
