router: a key that is added again is the latest one that is remembered

The tokens of a server that came back and was removed again kept their first place in the memory, and were forgotten before those of servers that were removed earlier. A key that is added again now moves to the end. TestRecentKeepsTheLatest fails without that.

--- a/pkg/router/ended.go
+++ b/pkg/router/ended.go
@@ -50,8 +50,8 @@
 // last returns the last record of the process of a record.
 func (e *endedProcesses) last(s *Server) (lastRecord, bool) {
 	k := processKey{s.ID, s.StartedAt.UnixMilli()}
-	r, left := e.left.values[k]
-	if g, gone := e.gone.values[k]; gone && (!left || g.sequence > r.sequence) {
+	r, left := e.left.get(k)
+	if g, gone := e.gone.get(k); gone && (!left || g.sequence > r.sequence) {
 		return g, true
 	}
 	return r, left
--- a/pkg/router/holders.go
+++ b/pkg/router/holders.go
@@ -99,7 +99,8 @@
 			}
 		}
 	}
-	for token, r := range lb.tokens.removed.values {
+	for token, e := range lb.tokens.removed.values {
+		r := &e.v
 		if now.Before(r.until) && lb.tokens.owners[token] == nil && lb.tokens.shared[token] == nil {
 			add(token, r.id, r.known, r.until)
 		}
--- a/pkg/router/removed.go
+++ b/pkg/router/removed.go
@@ -25,13 +25,13 @@
 
 // has reports whether this instance removed a server with a token.
 func (t *removedTokens) has(token uint32) bool {
-	r, ok := t.values[token]
+	r, ok := t.recent.get(token)
 	return ok && !r.learned
 }
 
 // get returns which server held a token, if no other one may get it yet.
 func (t *removedTokens) get(now time.Time, token uint32) (removedToken, bool) {
-	r, ok := t.values[token]
+	r, ok := t.recent.get(token)
 	return r, ok && now.Before(r.until)
 }
 
