router: an answer that a holder is not known replaces no known holder

An instance that asked others took over that the holder of a token is not known, or was removed long ago, although it knew the holder itself; packets of open flows were dropped. TestUnknownHolderReplacesNoKnownOne fails without the change.

--- a/pkg/router/contest.go
+++ b/pkg/router/contest.go
@@ -150,6 +150,9 @@
 	if c == nil && owner != nil {
 		c = &sharedToken{servers: []*server{owner}, holder: owner.ID}
 	}
+	if c != nil && c.contested && c.resolved && !r.holds(now) {
+		return // this instance knows better
+	}
 	if c == nil || !c.contested && r.known && c.holder == r.id {
 		t.removed.add(token, r)
 		return
--- a/pkg/router/contest_test.go
+++ b/pkg/router/contest_test.go
@@ -292,3 +292,17 @@
 	res = untold.lb.TokensResponse(untold.now, 0, &TokensRequest{})
 	assert.Assert(t, res.Settled)
 }
+
+// Guards against a contest whose holder is known here, and no longer is after an instance
+// answers that does not know it, or whose memory of the holder is old.
+func TestUnknownHolderReplacesNoKnownOne(t *testing.T) {
+	for _, h := range []TokenHolder{{}, {Known: true, Age: uint32((maxExpired + time.Second) / time.Millisecond)}} {
+		c := newContest(t)
+		c.put(&c.two)
+		c.wait(2 * time.Second)
+		c.lb.tokens.settled = false
+		h.Token, h.Server = c.sharedToken, c.two.Value.ID
+		assert.Equal(t, c.lb.ApplyHolders(c.now, []TokenHolder{h}), 0)
+		c.assertAt(t)
+	}
+}
