router: a response about token holders reads only servers without a record

Servers without a record are now a set. A response that has reached its limit ends, and is not settled: it passed for complete before. TestTokensResponseIsBounded fails without that.

--- a/pkg/router/balancer.go
+++ b/pkg/router/balancer.go
@@ -86,7 +86,7 @@
 	nextPending      int
 	self             string                     // name of this instance
 	peers            []string                   // live instances of this failure domain, with this one
-	removedServers   int                        // servers without a record
+	removedServers   map[*server]struct{}       // servers without a record
 	expired          map[netip.AddrPort]*server // those that outlive RemovalGrace, by address
 	synced           bool                       // all server records of the store were applied
 	cleanedAt        time.Time                  // last removal of idle flows and old tokens
@@ -118,7 +118,7 @@
 	lb.pools = map[string]*pool{}
 	lb.unknownTokens = map[uint32]time.Time{}
 	lb.domains = map[string]*domain{}
-	lb.expired = map[netip.AddrPort]*server{}
+	lb.expired, lb.removedServers = map[netip.AddrPort]*server{}, map[*server]struct{}{}
 	lb.startedAt, lb.lastCallAt = now, now
 	lb.flows.start(lb.Limits.MaxFlows)
 }
--- a/pkg/router/contest_test.go
+++ b/pkg/router/contest_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"ebonypaddle/pkg/logs"
 	"ebonypaddle/pkg/revs"
 	"ebonypaddle/pkg/wire"
 )
@@ -306,3 +307,29 @@
 		c.assertAt(t)
 	}
 }
+
+// Guards against a response that takes time for servers that it does not mention, and
+// against one that lacks tokens and passes for complete.
+func TestTokensResponseIsBounded(t *testing.T) {
+	lb := newBalancer()
+	all := make([]Change[Server], maxTokenHolders)
+	for i := range all {
+		all[i] = serverRecord(100000+i, "a")
+	}
+	lb.ApplyServers(startTime, all, true)
+	lb.SettleTokens()
+	lb.Log = logs.OrDiscard(nil)
+	lb.ApplyServers(startTime, []Change[Server]{{Name: all[0].Name, Rev: 1 << 40, Deleted: true}}, false)
+	assert.Equal(t, len(lb.removedServers), 1)
+	res := lb.TokensResponse(startTime, 0, &TokensRequest{})
+	assert.Assert(t, res.Settled)
+	assert.Equal(t, len(res.Holders), tokensPerServer)
+	lb.ApplyServers(startTime, nil, true)
+	res = lb.TokensResponse(startTime, 0, &TokensRequest{})
+	assert.Assert(t, !res.Settled)
+	assert.Equal(t, len(res.Holders), maxTokenHolders)
+	for _, c := range all {
+		lb.dropServer(startTime, lb.byName[c.Name])
+	}
+	assert.Equal(t, len(lb.removedServers), 0)
+}
--- a/pkg/router/expired.go
+++ b/pkg/router/expired.go
@@ -14,13 +14,7 @@
 // more, and drops them after RemovalGrace, unless only their record expired: the server is only
 // slow to report, and resets would cut off requests that it answers.
 func (lb *Balancer) expireRemoved(now time.Time) {
-	if lb.removedServers == 0 {
-		return
-	}
-	for _, srv := range lb.byName {
-		if srv.removedAt.IsZero() {
-			continue
-		}
+	for srv := range lb.removedServers {
 		age := now.Sub(srv.removedAt)
 		switch {
 		case age < lb.Limits.RemovalGrace:
--- a/pkg/router/expired_test.go
+++ b/pkg/router/expired_test.go
@@ -45,7 +45,7 @@
 	assertForwarded(t, newCaller(lb, 3, serviceAddr).open(now, 0))
 	assertForwarded(t, c.data(now, 101, 1, 101))
 	assert.Equal(t, len(lb.expired), 0)
-	assert.Equal(t, lb.removedServers, 0)
+	assert.Equal(t, len(lb.removedServers), 0)
 }
 
 // Guards against flows that go on at a server which is gone, or whose address another
@@ -88,7 +88,7 @@
 			lb.SetConfirmed(now)
 			assertRefused(t, c.data(now, 300, 1, 0), wire.ReasonServerGone)
 			assert.Equal(t, len(lb.expired), 0)
-			assert.Equal(t, lb.removedServers, 0)
+			assert.Equal(t, len(lb.removedServers), 0)
 		})
 	}
 	t.Run("it left", func(t *testing.T) {
--- a/pkg/router/holders.go
+++ b/pkg/router/holders.go
@@ -60,13 +60,17 @@
 }
 
 // TokensResponse answers another instance. rev is the revision of the server records here.
+// A response that does not hold everything is not settled.
 func (lb *Balancer) TokensResponse(now time.Time, rev revs.Rev, req *TokensRequest) TokensResponse {
 	res := TokensResponse{Settled: lb.TokensSettled(now) && rev >= req.Rev}
-	add := func(token uint32, holder ServerID, known bool, until time.Time) {
-		if len(res.Holders) < maxTokenHolders {
-			age := max(tokenMemory-until.Sub(now), 0)
-			res.Holders = append(res.Holders, TokenHolder{Token: token, Known: known, Server: holder, Age: uint32(age / time.Millisecond)})
+	add := func(token uint32, holder ServerID, known bool, until time.Time) bool {
+		if len(res.Holders) == maxTokenHolders {
+			res.Settled = false
+			return false
 		}
+		age := max(tokenMemory-until.Sub(now), 0)
+		res.Holders = append(res.Holders, TokenHolder{Token: token, Known: known, Server: holder, Age: uint32(age / time.Millisecond)})
+		return true
 	}
 	latest := now.Add(tokenMemory)
 	for _, token := range req.Tokens[:min(len(req.Tokens), maxTokensAsked)] {
@@ -89,20 +93,18 @@
 
 // addRemovedHolders adds the tokens of servers without a record, which the requesting
 // instance may not know.
-func (lb *Balancer) addRemovedHolders(now time.Time, add func(token uint32, holder ServerID, known bool, until time.Time)) {
-	if lb.removedServers > 0 {
-		for _, srv := range lb.byName {
-			for _, token := range tokens(srv.ID) {
-				if !srv.removedAt.IsZero() && lb.tokens.owners[token] == srv && !lb.tokens.contested(token) {
-					add(token, srv.ID, true, now.Add(tokenMemory))
-				}
+func (lb *Balancer) addRemovedHolders(now time.Time, add func(token uint32, holder ServerID, known bool, until time.Time) bool) {
+	for srv := range lb.removedServers {
+		for _, token := range tokens(srv.ID) {
+			if lb.tokens.owners[token] == srv && !lb.tokens.contested(token) && !add(token, srv.ID, true, now.Add(tokenMemory)) {
+				return
 			}
 		}
 	}
 	for token, e := range lb.tokens.removed.values {
 		r := &e.v
-		if now.Before(r.until) && lb.tokens.owners[token] == nil && lb.tokens.shared[token] == nil {
-			add(token, r.id, r.known, r.until)
+		if now.Before(r.until) && lb.tokens.owners[token] == nil && lb.tokens.shared[token] == nil && !add(token, r.id, r.known, r.until) {
+			return
 		}
 	}
 }
--- a/pkg/router/record_state_test.go
+++ b/pkg/router/record_state_test.go
@@ -108,7 +108,7 @@
 		owners++
 	}
 	assert.Equal(t, owners, tokensPerServer)
-	assert.Equal(t, m.lb.removedServers == 0, srv.removedAt.IsZero())
+	assert.Equal(t, len(m.lb.removedServers) == 0, srv.removedAt.IsZero())
 }
 
 // Guards against a server that is used again after it reported that it leaves, or not
--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -107,7 +107,7 @@
 	if !srv.removedAt.IsZero() {
 		lb.Log.Info("server is back in the store", "server", c.Name, "after", now.Sub(srv.removedAt), "rev", c.Rev)
 		srv.removedAt, srv.noNewFlows = time.Time{}, false
-		lb.removedServers--
+		delete(lb.removedServers, srv)
 		if lb.expired[srv.Addr] == srv {
 			delete(lb.expired, srv.Addr)
 		}
@@ -149,7 +149,7 @@
 	}
 	srv.removedAt = now
 	srv.newFlowsUntil = lb.removedServerUntil(now)
-	lb.removedServers++
+	lb.removedServers[srv] = struct{}{}
 	srv.noNewFlows = srv.Leaving || !srv.health.recentlyAnswered(now) || !now.Before(srv.newFlowsUntil)
 	lb.Log.Info("server removed from the store", "server", srv.name, "service", srv.Service, "leaving", srv.Leaving, "newFlows", !srv.noNewFlows, "until", srv.newFlowsUntil.Sub(now), "confirmed", logs.Age(now, lb.confirmedAt), "answeredBefore", logs.Age(now, srv.health.answeredAt), "rev", srv.Rev)
 }
@@ -179,9 +179,7 @@
 	if len(p.local)+len(p.remote) == 0 {
 		delete(lb.pools, srv.Service)
 	}
-	if !srv.removedAt.IsZero() {
-		lb.removedServers--
-	}
+	delete(lb.removedServers, srv)
 	if lb.expired[srv.Addr] == srv {
 		delete(lb.expired, srv.Addr)
 	}
