router, relay: one log line for the holders that an instance tells

Each token that began to be shared by an answer had a line of its own, up to 5,120 an answer. The line of the answer now has their number. TestHoldersAreNotLoggedOneByOne fails without that.

--- a/pkg/relay/tokens.go
+++ b/pkg/relay/tokens.go
@@ -132,8 +132,8 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	ignored := r.Balancer.ApplyHolders(r.Clock(), res.Holders)
+	ignored, shared := r.Balancer.ApplyHolders(r.Clock(), res.Holders)
 	unresolved := len(r.Balancer.TokensRequest(rev).Tokens)
-	r.Log.Info("instance told token holders", "instance", to, "holders", len(res.Holders), "ignored", ignored, "asked", len(req.Tokens), "unresolved", unresolved)
+	r.Log.Info("instance told token holders", "instance", to, "holders", len(res.Holders), "ignored", ignored, "shared", shared, "asked", len(req.Tokens), "unresolved", unresolved)
 	return true, unresolved == 0
 }
--- a/pkg/relay/tokens_test.go
+++ b/pkg/relay/tokens_test.go
@@ -109,7 +109,7 @@
 		}
 		var res router.TokensResponse
 		if codec.Unmarshal(b, &res) == nil {
-			ignored := lb.ApplyHolders(now, res.Holders)
+			ignored, _ := lb.ApplyHolders(now, res.Holders)
 			assert.Assert(t, ignored <= len(res.Holders))
 			lb.Tick(now.Add(time.Second))
 			p := router.Packet{Ack: true, Caller: netip.MustParseAddrPort("127.0.0.1:9"), Service: netip.MustParseAddrPort("127.0.0.1:8"), Token: sharedToken, Seq: 1}
--- a/pkg/router/contest.go
+++ b/pkg/router/contest.go
@@ -54,7 +54,7 @@
 // holderKnown reports whether the holder has a record here.
 func (c *sharedToken) holderKnown() bool { return c.resolved && c.known(c.holder) }
 
-// alone reports whether the servers have a single ID.
+// alone reports whether the servers, of which there is at least one, have a single ID.
 func (c *sharedToken) alone() bool {
 	return !slices.ContainsFunc(c.servers, func(o *server) bool { return o.ID != c.servers[0].ID })
 }
@@ -104,18 +104,25 @@
 	t.update(now, token, c)
 }
 
-// update sets the server that gets the packets with a token, ends its contest if only
-// one server can have flows with it, and chooses the tokens of the servers again.
+// update does what reassign does, and logs the end of a contest.
 func (t *tokenTable) update(now time.Time, token uint32, c *sharedToken) {
+	if t.reassign(now, token, c) {
+		t.log.Info("token shared by servers belongs to one again", "token", token, "server", c.servers[0].name)
+	}
+}
+
+// reassign sets the server that gets the packets with a token, ends its contest if only
+// one server can have flows with it, and chooses the tokens of the servers again.
+func (t *tokenTable) reassign(now time.Time, token uint32, c *sharedToken) (ended bool) {
 	if len(c.servers) == 0 {
 		delete(t.shared, token)
 		delete(t.owners, token)
 		t.removed.add(token, removedToken{id: c.holder, known: c.resolved || !c.contested, until: c.until})
-		return
+		return false
 	}
 	if c.contested && c.alone() && (c.holderKnown() || !now.Before(c.until)) {
-		c.contested, c.holder = false, c.servers[0].ID
-		t.log.Info("token shared by servers belongs to one again", "token", token, "server", c.servers[0].name)
+		// All servers have one ID, so the first one stands for all.
+		c.contested, c.holder, ended = false, c.servers[0].ID, true
 	}
 	delete(t.owners, token)
 	if owners := slices.DeleteFunc(slices.Clone(c.servers), func(o *server) bool { return c.contested && (!c.resolved || o.ID != c.holder) }); len(owners) > 0 {
@@ -127,6 +134,7 @@
 	for _, o := range c.servers {
 		t.choose(o)
 	}
+	return ended
 }
 
 // expire makes contests unresolved whose holder has no flows left, and ends those with
@@ -144,24 +152,22 @@
 }
 
 // setHolder takes over from another instance which server holds a token, or that it is not
-// known.
-func (t *tokenTable) setHolder(now time.Time, token uint32, r removedToken) {
+// known. It reports whether a contest begins by that.
+func (t *tokenTable) setHolder(now time.Time, token uint32, r removedToken) (began bool) {
 	c, owner := t.shared[token], t.owners[token]
 	if c == nil && owner != nil {
 		c = &sharedToken{servers: []*server{owner}, holder: owner.ID}
 	}
 	if c != nil && c.contested && c.resolved && !r.holds(now) {
-		return // this instance knows better
+		return false // this instance knows better
 	}
 	if c == nil || !c.contested && r.known && c.holder == r.id {
 		t.removed.add(token, r)
-		return
+		return false
 	}
-	began := !c.contested
+	began = !c.contested
 	t.shared[token] = c
 	c.contested, c.resolved, c.holder, c.until = true, r.holds(now), r.id, r.until
-	if began {
-		t.contestBegan(token, c, c.servers[0])
-	}
-	t.update(now, token, c)
+	t.reassign(now, token, c)
+	return began
 }
--- a/pkg/router/contest_test.go
+++ b/pkg/router/contest_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -216,21 +218,21 @@
 	res := c.lb.TokensResponse(c.now, 6, &req)
 	assert.Assert(t, !res.Settled, "the responding instance has older records")
 	bad := []TokenHolder{{Token: c.sharedToken, Known: true, Server: 77}}
-	assert.Equal(t, next.ApplyHolders(c.now, bad), 1)
+	assert.Equal(t, ignoredHolders(next, c.now, bad), 1)
 	old := []TokenHolder{{Token: c.sharedToken, Known: true, Server: c.one.Value.ID, Age: uint32(tokenMemory / time.Millisecond)}}
-	assert.Equal(t, next.ApplyHolders(c.now, old), 0)
+	assert.Equal(t, ignoredHolders(next, c.now, old), 0)
 	assert.Equal(t, len(next.TokensRequest(0).Tokens), 1)
-	assert.Equal(t, next.ApplyHolders(c.now, res.Holders), 0)
+	assert.Equal(t, ignoredHolders(next, c.now, res.Holders), 0)
 	assert.Equal(t, len(next.TokensRequest(0).Tokens), 0)
 	many := make([]TokenHolder, maxTokenHolders+5)
 	for i := range many {
 		id := ServerID(1000 + i)
 		many[i] = TokenHolder{Token: tokens(id)[0], Known: true, Server: id}
 	}
-	assert.Equal(t, next.ApplyHolders(c.now, many), 5)
+	assert.Equal(t, ignoredHolders(next, c.now, many), 5)
 	assert.Equal(t, len(next.tokens.removed.values), maxRemovedTokens)
 	next.SettleTokens()
-	assert.Equal(t, next.ApplyHolders(c.now, bad), 0)
+	assert.Equal(t, ignoredHolders(next, c.now, bad), 0)
 	assert.Equal(t, next.tokens.owner(c.sharedToken).ID, c.one.Value.ID)
 }
 
@@ -303,7 +305,7 @@
 		c.wait(2 * time.Second)
 		c.lb.tokens.settled = false
 		h.Token, h.Server = c.sharedToken, c.two.Value.ID
-		assert.Equal(t, c.lb.ApplyHolders(c.now, []TokenHolder{h}), 0)
+		assert.Equal(t, ignoredHolders(c.lb, c.now, []TokenHolder{h}), 0)
 		c.assertAt(t)
 	}
 }
@@ -333,3 +335,28 @@
 	}
 	assert.Equal(t, len(lb.removedServers), 0)
 }
+
+func ignoredHolders(lb *Balancer, now time.Time, holders []TokenHolder) int {
+	ignored, _ := lb.ApplyHolders(now, holders)
+	return ignored
+}
+
+// Guards against a log line for each token that another instance tells.
+func TestHoldersAreNotLoggedOneByOne(t *testing.T) {
+	const n = 1000
+	var out strings.Builder
+	lb := newBalancer()
+	lb.tokens.log = slog.New(slog.NewTextHandler(&out, nil))
+	records := make([]Change[Server], n)
+	holders := make([]TokenHolder, n)
+	for i := range records {
+		records[i] = serverRecord(100000+i, "a")
+		holders[i] = TokenHolder{Token: tokens(records[i].Value.ID)[0]}
+	}
+	lb.ApplyServers(startTime, records, true)
+	out.Reset()
+	ignored, shared := lb.ApplyHolders(startTime, holders)
+	assert.Equal(t, ignored, 0)
+	assert.Equal(t, shared, n)
+	assert.Equal(t, out.Len(), 0)
+}
--- a/pkg/router/holders.go
+++ b/pkg/router/holders.go
@@ -110,11 +110,12 @@
 }
 
 // ApplyHolders takes over the holders of tokens from another instance. It returns how many
-// were ignored because their server does not have the token, or there are too many. It
-// does nothing once this instance is settled.
-func (lb *Balancer) ApplyHolders(now time.Time, holders []TokenHolder) (ignored int) {
+// were ignored because their server does not have the token, or there are too many, and
+// how many tokens of servers here are shared with others by that. These are not logged one
+// by one. It does nothing once this instance is settled.
+func (lb *Balancer) ApplyHolders(now time.Time, holders []TokenHolder) (ignored, shared int) {
 	if lb.tokens.settled {
-		return 0
+		return 0, 0
 	}
 	for i, h := range holders {
 		age := time.Duration(h.Age) * time.Millisecond
@@ -122,11 +123,11 @@
 			ignored++
 			continue
 		}
-		if age < tokenMemory {
-			lb.tokens.setHolder(now, h.Token, removedToken{id: h.Server, known: h.Known, learned: true, until: now.Add(tokenMemory - age)})
+		if age < tokenMemory && lb.tokens.setHolder(now, h.Token, removedToken{id: h.Server, known: h.Known, learned: true, until: now.Add(tokenMemory - age)}) {
+			shared++
 		}
 	}
-	return ignored
+	return ignored, shared
 }
 
 // SettleTokens records that other instances told this one which servers hold tokens, so
--- a/pkg/router/token_test.go
+++ b/pkg/router/token_test.go
@@ -91,7 +91,7 @@
 	req := to.TokensRequest(0)
 	res := from.TokensResponse(now, 0, &req)
 	assert.Assert(t, res.Settled)
-	assert.Equal(t, to.ApplyHolders(now, res.Holders), 0)
+	assert.Equal(t, ignoredHolders(to, now, res.Holders), 0)
 }
 
 // Guards against tokens that are left behind, or are given out while a server that has
