relay: the fuzz target of token holders has a server that shares no token

Its checks held for nearly any code: two servers shared the only token that was sent. A third server must now get the packets of its token unless the message names a server that has it, and the size of the tables is checked. It fails if holders that do not have their token are taken over.

--- a/pkg/relay/tokens_test.go
+++ b/pkg/relay/tokens_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -34,8 +35,12 @@
 func (i *instance) holder() router.ServerID {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	p := router.Packet{Ack: true, Caller: netip.MustParseAddrPort("127.0.0.1:9"), Service: netip.MustParseAddrPort("127.0.0.1:8"), Token: sharedToken, Seq: 1}
-	return i.Balancer.Handle(time.Now(), &p).To.Server
+	return serverOf(i.Balancer, time.Now(), sharedToken)
+}
+
+func serverOf(lb *router.Balancer, now time.Time, token uint32) router.ServerID {
+	p := router.Packet{Ack: true, Caller: netip.MustParseAddrPort("127.0.0.1:9"), Service: netip.MustParseAddrPort("127.0.0.1:8"), Token: token, Seq: 1}
+	return lb.Handle(now, &p).To.Server
 }
 
 // settle lets an instance pass for one that others told.
@@ -83,8 +88,12 @@
 	assert.Assert(t, told && complete)
 }
 
+// third is the ID of a server that shares no token.
+const third router.ServerID = 9
+
 // Guards against messages that stop an instance, take its memory, or make it send packets
-// of a token to a server that does not have it.
+// of a token to a server that does not have it. A message can at most end in dropped
+// packets of tokens that it names.
 func FuzzTokens(f *testing.F) {
 	codec, err := admin.NewCodec()
 	assert.NilError(f, err)
@@ -95,6 +104,7 @@
 	}
 	seed(&router.TokensRequest{Tokens: []uint32{sharedToken, 7}, Rev: 9})
 	seed(&router.TokensResponse{Settled: true, Holders: []router.TokenHolder{{Token: sharedToken, Known: true, Server: sharing[1], Age: 3}, {Token: sharedToken}}})
+	seed(&router.TokensResponse{Settled: true, Holders: []router.TokenHolder{{Token: uint32(third), Known: true, Server: sharing[1]}, {Token: uint32(third) + 1, Known: true, Server: 8}}})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		now := time.UnixMilli(1_700_000_000_000)
 		lb := &router.Balancer{Domain: "a"}
@@ -102,19 +112,30 @@
 		i := &instance{Relay: &Relay{Balancer: lb}}
 		i.addServer(now, sharing[0], "one")
 		i.addServer(now, sharing[1], "two")
+		i.addServer(now, third, "three")
 		var req router.TokensRequest
 		if codec.Unmarshal(b, &req) == nil {
 			res := lb.TokensResponse(now, 1, &req)
-			assert.Assert(t, len(res.Holders) <= len(req.Tokens)+1)
+			assert.Assert(t, len(res.Holders) <= min(len(req.Tokens), 1024)+1)
 		}
 		var res router.TokensResponse
 		if codec.Unmarshal(b, &res) == nil {
 			ignored, _ := lb.ApplyHolders(now, res.Holders)
 			assert.Assert(t, ignored <= len(res.Holders))
 			lb.Tick(now.Add(time.Second))
-			p := router.Packet{Ack: true, Caller: netip.MustParseAddrPort("127.0.0.1:9"), Service: netip.MustParseAddrPort("127.0.0.1:8"), Token: sharedToken, Seq: 1}
-			to := lb.Handle(now.Add(time.Second), &p).To.Server
+			to := serverOf(lb, now.Add(time.Second), sharedToken)
 			assert.Assert(t, to == 0 || to == sharing[0] || to == sharing[1])
+			named := slices.ContainsFunc(res.Holders, func(h router.TokenHolder) bool {
+				return h.Token == uint32(third) && (!h.Known || h.Server != third && uint32(h.Server)^uint32(h.Server>>32) == uint32(third))
+			})
+			to = serverOf(lb, now.Add(time.Second), uint32(third))
+			assert.Assert(t, to == third || named && to == 0)
+			tables := lb.TokensResponse(now, 0, &router.TokensRequest{})
+			b, err := codec.Marshal(&tables)
+			assert.NilError(t, err)
+			assert.Assert(t, len(b) <= maxTokensSize)
+			assert.Assert(t, len(tables.Holders) <= len(res.Holders)+1)
+			assert.Assert(t, len(lb.TokensRequest(0).Tokens) <= 9)
 		}
 	})
 }
