router: tests for three rules of the memory of tokens

No test failed when tokens were remembered only for maxExpired, when the memory counted from the time at which a server was dropped, or when an unresolved contest ended as soon as one of its servers left. The model of histories no longer allows that a packet with a contested token is refused.

--- a/pkg/router/contest_test.go
+++ b/pkg/router/contest_test.go
@@ -360,3 +360,43 @@
 	assert.Equal(t, shared, n)
 	assert.Equal(t, out.Len(), 0)
 }
+
+// Guards against a token that is forgotten while flows of its server go on, or while another
+// instance that learned of the removal late still remembers it.
+func TestTokenMemoryOutlastsFlows(t *testing.T) {
+	c := newContest(t)
+	c.remove(&c.one)
+	c.wait(c.lb.Limits.RemovalGrace + maxExpired + 10*time.Second)
+	c.put(&c.two)
+	c.wait(2 * time.Second)
+	c.assertNotGivenOut(t)
+}
+
+// Guards against instances that forget a token at different times because one of them
+// dropped the server later, as it still answered flows there.
+func TestTokenMemoryCountsFromTheRemoval(t *testing.T) {
+	c := newContest(t)
+	srv := c.lb.byName[c.one.Name]
+	c.remove(&c.one)
+	removed := c.now
+	c.wait(time.Second)
+	c.lb.dropServer(removed.Add(50*time.Second), srv)
+	r, ok := c.lb.tokens.removed.get(c.now, c.sharedToken)
+	assert.Assert(t, ok)
+	assert.Equal(t, r.until, removed.Add(c.lb.Limits.RemovalGrace+tokenMemory))
+}
+
+// Guards against an unresolved contest that ends as soon as one of its servers is removed,
+// so that the other one gets packets of its flows.
+func TestServerOfAnUnresolvedContestLeaves(t *testing.T) {
+	c := newContest(t)
+	c = c.restart(t, false, c.two, c.one)
+	c.assertDropped(t)
+	c.remove(&c.one)
+	c.wait(10 * time.Second)
+	assert.Assert(t, c.lb.byName[c.one.Name] == nil)
+	c.assertDropped(t)
+	c.assertNotGivenOut(t)
+	c.wait(tokenMemory)
+	assert.Assert(t, !c.lb.tokens.contested(c.sharedToken))
+}
--- a/pkg/router/history_test.go
+++ b/pkg/router/history_test.go
@@ -355,7 +355,7 @@
 	case Refuse:
 		// An instance takes a server whose record was removed for gone after RemovalGrace,
 		// until it learns of a new record. TestUnknownToken and others check that.
-		assert.Assert(t, i.removed[f.server.record.Name] && v.Reason != wire.ReasonTimeout, "packet of a flow of %x refused: %v", f.server.record.Value.ID, v.Reason)
+		assert.Assert(t, i.removed[f.server.record.Name] && !i.lb.tokens.contested(f.c.token) && v.Reason != wire.ReasonTimeout, "packet of a flow of %x refused: %v", f.server.record.Value.ID, v.Reason)
 	case Drop:
 		m.dropped++
 	}
