router: the silence of all servers closes no flow

An instance closed open flows at servers that lived when nothing at all answered it: the machine gave it no processor time, or its own path was cut.

Flows of an unresponsive server are closed only if another one answered a caller through this instance minUnansweredTime or more after its last answer, or after the first failure of one that never answered.

The tests of health_test.go that close a flow have a single server, and would no longer close any; those that keep one open would pass for the wrong reason. Each of them now has a second server that answers while the first one is silent. What they check is unchanged.

--- a/pkg/router/balancer.go
+++ b/pkg/router/balancer.go
@@ -79,6 +79,7 @@
 	tokens           tokenTable
 	pools            map[string]*pool
 	flows            flowTable
+	answers          lastAnswers
 	ended            endedProcesses
 	unknownTokens    map[uint32]time.Time // by token, with the time of its first packet
 	domains          map[string]*domain
--- a/pkg/router/flow.go
+++ b/pkg/router/flow.go
@@ -155,7 +155,7 @@
 		// only there. Failures of other flows therefore close the flow only if
 		// this instance has seen an answer or a retransmission of it.
 		observed := f.answerSeen || f.retransmissions > 0
-		closeFlow = rt != nil && rt.Repeatable && !now.Before(lb.closeFlowsFrom) && (observed && srv.health.unresponsive(now) || srv.health.unresponsiveForFlow(now, f.retransmissions))
+		closeFlow = rt != nil && rt.Repeatable && !now.Before(lb.closeFlowsFrom) && lb.aloneSilent(srv) && (observed && srv.health.unresponsive(now) || srv.health.unresponsiveForFlow(now, f.retransmissions))
 	}
 	if p.End || p.Reset {
 		lb.flows.remove(p)
--- a/pkg/router/health.go
+++ b/pkg/router/health.go
@@ -77,6 +77,8 @@
 type passiveHealth struct {
 	answeredAt time.Time
 	failures   int
+	// failingSince is when the first of the failures was found.
+	failingSince time.Time
 	// retransmissions counts the failures that were retransmitted data of an
 	// open flow, the latest at retransmittedAt. They are counted apart because
 	// an overloaded server ignores openings but still serves its flows.
@@ -100,7 +102,7 @@
 // did not come. From suspectFailures on, the server is suspected.
 func (h *passiveHealth) recordFailure(now time.Time, k flowKey) {
 	if h.failures == 0 {
-		h.firstFlow = k
+		h.firstFlow, h.failingSince = k, now
 	}
 	h.multipleFlows = h.multipleFlows || k != h.firstFlow
 	h.failures++
@@ -158,6 +160,7 @@
 // recordAnswer records that a caller got an answer from a server.
 func (lb *Balancer) recordAnswer(now time.Time, srv *server) {
 	srv.health.recordAnswer(now)
+	lb.answers.add(now, srv.ID)
 	lb.recordReachable(now, srv.Domain)
 }
 
--- a/pkg/router/health_test.go
+++ b/pkg/router/health_test.go
@@ -48,6 +48,12 @@
 	}
 }
 
+// otherAnswers records an answer of a server that gets no flows of the test, so that the
+// silence of the others says something about them.
+func otherAnswers(lb *Balancer, now time.Time) {
+	lb.recordAnswer(now, &server{Server: Server{ID: 99, Domain: "a"}})
+}
+
 // retransmitUnconfirmed opens count flows at the only server, which answers
 // their first requests but not the second ones, so that the callers
 // retransmit. It returns the verdicts on the retransmissions and their time.
@@ -71,6 +77,7 @@
 	lb.Tick(now.Add(100 * time.Millisecond))
 	now = now.Add(200 * time.Millisecond)
 	lb.Tick(now)
+	otherAnswers(lb, now)
 	for i, c := range cs {
 		last[i] = c.data(now, 10, 10, 100)
 	}
@@ -100,6 +107,7 @@
 	assertForwarded(t, c.open(startTime, 0))
 	assertForwarded(t, c.data(startTime.Add(5*time.Millisecond), 0, 10, 0))
 	now := openUnanswered(lb, startTime.Add(10*time.Millisecond), 20)
+	otherAnswers(lb, now)
 	assertForwarded(t, c.data(now, 10, 10, 0))
 }
 
@@ -114,6 +122,7 @@
 		assertForwarded(t, c.data(startTime, 0, 10, 0))
 	}
 	now := startTime.Add(3 * time.Second)
+	otherAnswers(lb, now)
 	for i := range 6 {
 		for _, c := range cs {
 			assertForwarded(t, c.data(now.Add(time.Duration(i)*time.Millisecond), 0, 10, 0))
@@ -183,6 +192,7 @@
 	assertForwarded(t, otherFlow.data(now, 0, 10, 50))
 	now = now.Add(maxRetransmissionAge + time.Millisecond)
 	runTicks(lb, now.Add(-maxRetransmissionAge), now)
+	otherAnswers(lb, now)
 	ownFlow := newCaller(lb, 0, serviceAddr)
 	ownFlow.token = otherFlow.token
 	assertForwarded(t, ownFlow.data(now, 20, 10, 100))
@@ -241,6 +251,7 @@
 				if lagging {
 					lb.ReportLag(now, 250*time.Millisecond)
 				}
+				otherAnswers(lb, now)
 				for _, c := range cs {
 					last = c.data(now, 0, 10, 0)
 				}
@@ -265,6 +276,7 @@
 	for _, wait := range []time.Duration{200, 400} {
 		runTicks(lb, now, now.Add(wait*time.Millisecond))
 		now = now.Add(wait * time.Millisecond)
+		otherAnswers(lb, now)
 		assertForwarded(t, c.data(now, 0, 10, 0))
 	}
 }
@@ -289,6 +301,7 @@
 	lb.Tick(now)
 	for range 3 {
 		now = now.Add(200 * time.Millisecond)
+		otherAnswers(lb, now)
 		for _, c := range cs {
 			assertForwarded(t, c.data(now, 10, 10, 100))
 		}
@@ -308,5 +321,6 @@
 	}
 	c := newCaller(lb, 0, serviceAddr)
 	c.token = lb.byName["s1"].token
+	otherAnswers(lb, now.Add(time.Second))
 	assertForwarded(t, c.data(now.Add(time.Second), 20, 10, 100))
 }
