router: an instance that missed a server does not answer for others

An instance that lagged while a server came and was removed never knew its tokens. It still counted as settled, and one that started and asked it first gave a token of the removed server's open flows to another server.

The removal of a server that is not known is the sign of it: the instance is not settled for tokenMemory then. The model passes such removals on to the instances. TestInstanceThatMissedAServerDoesNotTell fails without the change.

--- a/pkg/router/contest_test.go
+++ b/pkg/router/contest_test.go
@@ -400,3 +400,15 @@
 	c.wait(tokenMemory)
 	assert.Assert(t, !c.lb.tokens.contested(c.sharedToken))
 }
+
+// Guards against an instance that never saw a server because it lagged, and tells others
+// that nobody holds the tokens of that server.
+func TestInstanceThatMissedAServerDoesNotTell(t *testing.T) {
+	c := newContest(t)
+	c.remove(&c.two)
+	res := c.lb.TokensResponse(c.now, 0, &TokensRequest{})
+	assert.Assert(t, !res.Settled)
+	c.wait(tokenMemory)
+	res = c.lb.TokensResponse(c.now, 0, &TokensRequest{})
+	assert.Assert(t, res.Settled)
+}
--- a/pkg/router/history_test.go
+++ b/pkg/router/history_test.go
@@ -172,7 +172,6 @@
 		i.applied[c.Name], i.removed[c.Name] = c.Rev, c.Deleted
 		if c.Deleted && i.lb.byName[c.Name] == nil {
 			i.blind = i.blind || started[c.Name]
-			continue
 		}
 		changes = append(changes, c.Change)
 	}
--- a/pkg/router/holders.go
+++ b/pkg/router/holders.go
@@ -136,8 +136,12 @@
 func (lb *Balancer) SettleTokens() { lb.tokens.settled = true }
 
 // TokensSettled reports whether this instance knows which servers hold tokens: others told
-// it, or it has known the servers for as long as removed ones are remembered.
+// it, or it has known the servers for as long as removed ones are remembered. It does not
+// if it missed a server that came and was removed, as it lagged or was told the result only.
 func (lb *Balancer) TokensSettled(now time.Time) bool {
 	t := &lb.tokens
+	if !t.missedAt.IsZero() && now.Sub(t.missedAt) < tokenMemory {
+		return false
+	}
 	return t.settled || !t.firstAt.IsZero() && now.Sub(t.firstAt) >= tokenMemory
 }
--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -48,6 +48,8 @@
 		seen[c.Name] = true
 		switch srv := lb.byName[c.Name]; {
 		case srv != nil && c.Rev < srv.Rev:
+		case c.Deleted && srv == nil:
+			lb.tokens.missedAt = now
 		case c.Deleted:
 			lb.removeServer(now, srv)
 		default:
--- a/pkg/router/token.go
+++ b/pkg/router/token.go
@@ -50,6 +50,9 @@
 	firstAt time.Time
 	// settled is set when other instances told which servers hold tokens.
 	settled bool
+	// missedAt is when this instance last heard of the removal of a server that it never
+	// knew, so that it does not know which tokens the server had.
+	missedAt time.Time
 }
 
 func (t *tokenTable) start(log *slog.Logger) {
