objs, router: an odd entry does not count as a server that was missed

An entry that does not decode is passed on as a removal. The removal now says that the object is invalid. The case is part of TestInstanceThatMissedAServerDoesNotTell and fails without the change.

--- a/pkg/router/contest_test.go
+++ b/pkg/router/contest_test.go
@@ -405,8 +405,11 @@
 // that nobody holds the tokens of that server.
 func TestInstanceThatMissedAServerDoesNotTell(t *testing.T) {
 	c := newContest(t)
-	c.remove(&c.two)
+	c.lb.ApplyServers(c.now, []Change[Server]{{Name: "odd", Rev: 9, Deleted: true, Invalid: true}}, false)
 	res := c.lb.TokensResponse(c.now, 0, &TokensRequest{})
+	assert.Assert(t, res.Settled, "an odd entry is no server")
+	c.remove(&c.two)
+	res = c.lb.TokensResponse(c.now, 0, &TokensRequest{})
 	assert.Assert(t, !res.Settled)
 	c.wait(tokenMemory)
 	res = c.lb.TokensResponse(c.now, 0, &TokensRequest{})
--- a/pkg/router/records.go
+++ b/pkg/router/records.go
@@ -79,6 +79,8 @@
 	Name    string
 	Rev     revs.Rev
 	Deleted bool
+	// Invalid is set with Deleted if there is an object that does not decode.
+	Invalid bool
 	Value   T
 }
 
--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -49,7 +49,9 @@
 		switch srv := lb.byName[c.Name]; {
 		case srv != nil && c.Rev < srv.Rev:
 		case c.Deleted && srv == nil:
-			lb.tokens.missedAt = now
+			if !c.Invalid {
+				lb.tokens.missedAt = now
+			}
 		case c.Deleted:
 			lb.removeServer(now, srv)
 		default:
