--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -79,8 +79,10 @@
 	// Clock returns the monotonic time.
 	Clock    func() time.Time
 	Shutdown ShutdownTimes
-	Balancer *router.Balancer
-	Log      *slog.Logger
+	// TokenPauses are set to others in tests.
+	TokenPauses TokenPauses
+	Balancer    *router.Balancer
+	Log         *slog.Logger
 	// Counters count packets and requests.
 	Counters Counters
 	// Loads count the datagrams by which instances exchange their load.
@@ -158,6 +160,7 @@
 	wg.Go(func() { r.runReadPolicy(runCtx) })
 	wg.Go(func() { r.exchangeLoop(runCtx) })
 	wg.Go(func() { r.shareLoad(runCtx) })
+	wg.Go(func() { r.askTokens(runCtx) })
 	for k := range cache.Kinds {
 		wg.Go(func() { r.readLoop(runCtx, k) })
 	}
--- a/pkg/router/balancer.go
+++ b/pkg/router/balancer.go
@@ -81,14 +81,15 @@
 	demand           demand
 	admission        admission
 	flows            flowTable
-	removedTokens    tokenSet             // tokens of servers that are no longer used
+	answers          lastAnswers
+	ended            endedProcesses
 	unknownTokens    map[uint32]time.Time // by token, with the time of its first packet
 	domains          map[string]*domain
 	pendingOpenings  []pendingOpening // oldest first; those before nextPending are done
 	nextPending      int
 	self             string                     // name of this instance
 	peers            []string                   // live instances of this failure domain, with this one
-	removedServers   int                        // servers without a record
+	removedServers   map[*server]struct{}       // servers without a record
 	expired          map[netip.AddrPort]*server // those that outlive RemovalGrace, by address
 	synced           bool                       // all server records of the store were applied
 	cleanedAt        time.Time                  // last removal of idle flows and old tokens
@@ -115,16 +116,16 @@
 	}
 	lb.marks.start()
 	lb.byName = map[string]*server{}
-	lb.tokens.start()
+	lb.tokens.start(lb.Log)
+	lb.ended.start()
 	lb.pools = map[string]*pool{}
 	lb.demand.start()
 	lb.admission.start()
 	lb.unknownTokens = map[uint32]time.Time{}
 	lb.domains = map[string]*domain{}
-	lb.expired = map[netip.AddrPort]*server{}
+	lb.expired, lb.removedServers = map[netip.AddrPort]*server{}, map[*server]struct{}{}
 	lb.startedAt, lb.lastCallAt = now, now
 	lb.flows.start(lb.Limits.MaxFlows)
-	lb.removedTokens.start()
 }
 
 // SetSynced records that all server records of the store were applied.
@@ -274,10 +275,13 @@
 
 // handleUnknownToken handles a packet whose token belongs to no known server.
 func (lb *Balancer) handleUnknownToken(now time.Time, p *Packet) Verdict {
+	if lb.tokens.contested(p.Token) {
+		return drop(wire.ReasonTokenContested)
+	}
 	if p.Reset {
 		return drop(wire.ReasonUnknownFlow)
 	}
-	if lb.removedTokens.has(p.Token) && lb.serverGone(now, p) {
+	if lb.tokens.removed.has(p.Token) && lb.serverGone(now, p) {
 		lb.flows.remove(p)
 		return refuse(wire.ReasonServerGone)
 	}
@@ -309,6 +313,7 @@
 	lb.expireRestored(now)
 	lb.demand.expire(now, maxInProgress)
 	lb.expireSums(now)
+	lb.tokens.expire(now)
 	if now.Sub(lb.cleanedAt) < time.Second {
 		return
 	}
--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -48,6 +48,10 @@
 		seen[c.Name] = true
 		switch srv := lb.byName[c.Name]; {
 		case srv != nil && c.Rev < srv.Rev:
+		case c.Deleted && srv == nil:
+			if !c.Invalid {
+				lb.tokens.missedAt = now
+			}
 		case c.Deleted:
 			lb.removeServer(now, srv)
 		default:
@@ -83,11 +87,15 @@
 	srv := lb.byName[c.Name]
 	if srv != nil && replaced(&srv.Server, &c.Value) {
 		// The server restarted or moved, so nothing known about it is valid.
-		lb.dropServer(srv)
+		lb.dropServer(now, srv)
 		srv = nil
 	}
 	switch {
 	case srv == nil:
+		if last, ok := lb.ended.last(&c.Value); ok && c.Value.Sequence < last.sequence {
+			lb.Log.Info("older server record ignored", "server", c.Name, "leaving", last.leaving, "rev", c.Rev)
+			c.Value.Sequence, c.Value.Leaving = last.sequence, last.leaving
+		}
 		srv = lb.addServer(now, c)
 		if logNew {
 			lb.Log.Info("server added", "server", c.Name, "service", srv.Service, "domain", srv.Domain, "addr", srv.Addr, "leaving", srv.Leaving, "coldFor", srv.ColdTimeLeft, "rev", c.Rev)
@@ -103,7 +111,7 @@
 	if !srv.removedAt.IsZero() {
 		lb.Log.Info("server is back in the store", "server", c.Name, "after", now.Sub(srv.removedAt), "rev", c.Rev)
 		srv.removedAt, srv.noNewFlows = time.Time{}, false
-		lb.removedServers--
+		delete(lb.removedServers, srv)
 		if lb.expired[srv.Addr] == srv {
 			delete(lb.expired, srv.Addr)
 		}
@@ -122,12 +130,10 @@
 	}
 	if old := lb.expired[srv.Addr]; old != nil {
 		lb.Log.Info("address of a silent server in use again", "server", old.name, "by", srv.name, "rev", c.Rev)
-		lb.dropServer(old)
+		lb.dropServer(now, old)
 	}
 	lb.byName[c.Name] = srv
-	for _, other := range lb.tokens.claim(srv) {
-		lb.Log.Warn("server lost a token to one that started earlier", "server", other.name, "to", srv.name, "rev", srv.Rev)
-	}
+	lb.tokens.claim(now, srv)
 	if srv.token == 0 {
 		lb.Log.Warn("server has no free token and gets no flows", "server", srv.name, "rev", srv.Rev)
 	}
@@ -147,7 +153,7 @@
 	}
 	srv.removedAt = now
 	srv.newFlowsUntil = lb.removedServerUntil(now)
-	lb.removedServers++
+	lb.removedServers[srv] = struct{}{}
 	srv.noNewFlows = srv.Leaving || !srv.health.recentlyAnswered(now) || !now.Before(srv.newFlowsUntil)
 	lb.Log.Info("server removed from the store", "server", srv.name, "service", srv.Service, "leaving", srv.Leaving, "newFlows", !srv.noNewFlows, "until", srv.newFlowsUntil.Sub(now), "confirmed", logs.Age(now, lb.confirmedAt), "answeredBefore", logs.Age(now, srv.health.answeredAt), "rev", srv.Rev)
 }
@@ -169,23 +175,25 @@
 const confirmationLag = time.Second
 
 // dropServer removes a server. Later packets of its flows are refused.
-func (lb *Balancer) dropServer(srv *server) {
+func (lb *Balancer) dropServer(now time.Time, srv *server) {
 	delete(lb.byName, srv.name)
+	lb.ended.add(&srv.Server)
 	p := lb.pool(srv.Service)
 	p.remove(srv)
 	if len(p.local)+len(p.remote) == 0 {
 		delete(lb.pools, srv.Service)
 	}
-	if !srv.removedAt.IsZero() {
-		lb.removedServers--
-	}
+	delete(lb.removedServers, srv)
 	if lb.expired[srv.Addr] == srv {
 		delete(lb.expired, srv.Addr)
 	}
 	if sa := lb.admission.services[srv.Service]; sa != nil {
 		sa.costs.Forget(uint64(srv.ID))
 	}
-	for _, token := range lb.tokens.release(srv) {
-		lb.removedTokens.add(token)
+	rememberedFrom := now
+	if !srv.removedAt.IsZero() {
+		// Instances drop it at different times if it still answers flows of some.
+		rememberedFrom = srv.removedAt.Add(lb.Limits.RemovalGrace)
 	}
+	lb.tokens.release(now, srv, rememberedFrom.Add(tokenMemory))
 }
--- a/pkg/router/sums.go
+++ b/pkg/router/sums.go
@@ -26,8 +26,8 @@
 	// instances added since the sums before. limit is the number that the server
 	// holds, 0 for no limit.
 	flows, growth, limit int
-	flowsReported        int // own open flows at the last report
-	flowsTotal           int // of all instances
+	flowsReported        int  // own open flows at the last report
+	flowsTotal           int  // of all instances
 	known                bool // false before the first sums
 }
 
