--- a/pkg/admit/admit_test.go
+++ b/pkg/admit/admit_test.go
@@ -165,3 +165,19 @@
 	}
 	assert.Assert(t, later.Admit[2] < 0.8*first.Admit[2])
 }
+
+// Guards against a plan that refuses everybody for good, as there are no answers from
+// which the capacity follows: at a cold start, and after servers were out.
+func TestNoPlanWithoutAnswers(t *testing.T) {
+	silent := domain("a", bearableNow+1, 100, 100)
+	silent.Demand.Done = 0
+	var s Service
+	_, pressed := s.Update(now, target, silent, nil)
+	assert.Assert(t, !pressed)
+	_, pressed = s.Update(now, target, domain("a", bearableNow+1, capacityPerS, capacityPerS), nil)
+	assert.Assert(t, pressed)
+	out := silent
+	out.Slots, out.Busy, out.InProgress = 0, 0, 0
+	_, pressed = s.Update(now, target, out, nil)
+	assert.Assert(t, !pressed)
+}
