--- a/pkg/admit/admit.go
+++ b/pkg/admit/admit.go
@@ -55,9 +55,8 @@
 	load.Total
 	// Flows is the number of open flows at the servers.
 	Flows float64
-	// Received is the rate of flows that other failure domains send here, and
-	// ReceivedInProgress what they have in progress here.
-	Received, ReceivedInProgress float64
+	// ReceivedInProgress is what other failure domains have in progress here.
+	ReceivedInProgress float64
 }
 
 // Away is the part of new flows that goes to another failure domain, by class, as a
@@ -89,9 +88,6 @@
 	rooms map[string]float64
 }
 
-// Pressed reports whether the plan is in force. Otherwise all flows are admitted.
-func (s *Service) Pressed() bool { return s.pressed }
-
 // domainState is what the decision needs of one failure domain.
 type domainState struct {
 	*Domain
--- a/pkg/router/demand.go
+++ b/pkg/router/demand.go
@@ -67,13 +67,13 @@
 	}
 	s := d.service(f.server.Service)
 	f.class = uint8(load.Class(rt.Priority))
-	if f.adopted || f.requests > 0 {
+	if f.adopted || f.requested {
 		s.begun[f.class].Add(now, cost)
 	}
 	if !f.adopted {
 		d.moved = max(d.moved-1, 0)
 	}
-	f.requests++
+	f.requested = true
 	d.answerEnded(now, f, rt)
 	f.answerFrom, f.answered = f.acked, false
 	f.active = true
@@ -94,7 +94,7 @@
 
 // answered counts an answer that has begun, by the cost of its request.
 func (d *demand) answered(now time.Time, srv *server, f *flow, cost float64) {
-	f.answered, f.cost = true, cost
+	f.answered, f.cost = true, float32(cost)
 	d.service(srv.Service).done.Add(now, cost)
 }
 
@@ -109,7 +109,7 @@
 // rejection if it looks like one.
 func (d *demand) answerEnded(now time.Time, f *flow, rt *Route) {
 	if f.answered && rt.shortAnswer(float64(f.acked-f.answerFrom)) {
-		d.service(f.server.Service).rejected.Add(now, f.cost)
+		d.service(f.server.Service).rejected.Add(now, float64(f.cost))
 	}
 	f.answered = false
 }
--- a/pkg/router/flow.go
+++ b/pkg/router/flow.go
@@ -27,48 +27,49 @@
 // flow is the state of one flow. Forwarding does not need it; it feeds the
 // passive health checks and the load estimates.
 type flow struct {
-	server *server
-	open   bool
-	// ended is set once the caller ended the flow. The state is kept for endedLifetime,
-	// as the caller's last acknowledgements would else look like a flow that another
-	// instance opened.
-	ended        bool
+	server       *server
 	lastPacketAt time.Time
-	// adopted is set if another instance opened the flow, or this one before it
-	// discarded the flow's state.
-	adopted bool
 	// openedAt is when the opening was last forwarded, or an adopted flow's first
 	// packet came.
 	openedAt time.Time
-	// seq is the sequence number after the last data that the caller sent,
-	// acked the caller's highest acknowledgement.
-	seq, acked uint32
 	// requestStartedAt is when the request in progress began; zero between
 	// requests.
 	requestStartedAt time.Time
+	// dataSentAt is when data was last forwarded.
+	dataSentAt time.Time
+	// seq is the sequence number after the last data that the caller sent,
+	// acked the caller's highest acknowledgement.
+	seq, acked uint32
+	// answerFrom is the first sequence number of the answer to the latest request,
+	// and cost the expected cost of that, in mean requests of its service.
+	answerFrom uint32
+	cost       float32
 	// retransmissions counts the caller's retransmissions of data since the
 	// last progress.
 	retransmissions int
+	// class is the priority class of the route, bucket that of the length of the
+	// latest request's first data, see costKey.
+	class, bucket uint8
+
+	open bool
+	// ended is set once the caller ended the flow. The state is kept for endedLifetime,
+	// as the caller's last acknowledgements would else look like a flow that another
+	// instance opened.
+	ended bool
+	// adopted is set if another instance opened the flow, or this one before it
+	// discarded the flow's state.
+	adopted bool
 	// answerSeen is set when packets of the caller showed this instance that
 	// the server answered the flow.
 	answerSeen bool
-	// dataSentAt is when data was last forwarded.
-	dataSentAt time.Time
 	// openingTimedOut is set when the missing answer to the opening was
 	// already counted as a failure.
 	openingTimedOut bool
-	// active is set while the request in progress counts as one, see
-	// load.active.
+	// active is set while the request in progress counts as one, see serverLoad.active.
 	active bool
-	// class is the priority class of the route, answerFrom the first sequence number
-	// of the answer to the latest request, answered whether that answer has begun.
-	class      uint8
-	bucket     uint8 // of the length of the latest request's first data, see costKey
-	free       bool  // the latest request found a free slot
-	requests   int   // that began here
-	answerFrom uint32
-	answered   bool
-	cost       float64 // of that request, in mean requests of its service
+	// requested is set when a request began here, free when the latest one found a free
+	// slot, answered when its answer has begun.
+	requested, free, answered bool
 }
 
 // defaultIdleTimeout is the time without packets after which the state of a
@@ -146,41 +147,32 @@
 // were queued on their way.
 const minRetransmissionGap = 150 * time.Millisecond
 
+// flowOf returns the state of a packet's flow. It adds it if another instance opened
+// the flow, or if the opening was retransmitted and went to two servers, and the other
+// one got the flow.
+func (lb *Balancer) flowOf(now time.Time, p *Packet, srv *server) *flow {
+	f := lb.flows.get(p)
+	if f != nil && f.server == srv && (!f.ended || !seqAfter(p.Seq+uint32(p.Size), f.seq+1)) {
+		return f
+	}
+	lb.demand.adopted(now)
+	return lb.flows.adopt(now, p, srv)
+}
+
 // observe updates the state of a flow and the health of its server from a
 // packet of the caller. It reports whether the flow should be closed because
 // its server is unresponsive and the caller may safely send the request again.
 func (lb *Balancer) observe(now time.Time, p *Packet, srv *server, rt *Route) (closeFlow bool) {
-	f := lb.flows.get(p)
-	if f == nil || f.server != srv || f.ended && seqAfter(p.Seq+uint32(p.Size), f.seq+1) {
-		// Another instance opened the flow, or the opening was retransmitted
-		// and went to two servers, and the other one got the flow.
-		f = lb.flows.adopt(now, p, srv)
-		lb.demand.adopted(now)
-	}
+	f := lb.flowOf(now, p, srv)
 	if f.ended {
 		return false
 	}
 	f.lastPacketAt = now
 	if !f.open {
-		f.open, f.answerSeen = true, true
-		srv.load.flows++
-		f.acked = p.Acked
-		lb.OpenTime.Record(now.Sub(f.openedAt))
-		srv.load.handshakeDone(now.Sub(f.openedAt))
-		lb.recordAnswer(now, srv)
-		srv.load.openingDone()
+		lb.observeOpened(now, p, f)
 	}
 	if seqAfter(p.Acked, f.acked) {
-		f.acked = p.Acked
-		f.retransmissions, f.answerSeen = 0, true
-		lb.recordAnswer(now, srv)
-		srv.ackedAt = now
-		if !f.requestStartedAt.IsZero() {
-			lb.AnswerTime.Record(now.Sub(f.requestStartedAt))
-			lb.observeCost(now, p, f)
-			srv.load.requestDone(now, f)
-			lb.demand.answered(now, srv, f, lb.relativeCost(srv.Service, costKey(p, f)))
-		}
+		lb.observeAnswer(now, p, f)
 	}
 	if p.Size > 0 {
 		lb.observeData(now, p, f)
@@ -197,6 +189,33 @@
 	return closeFlow
 }
 
+// observeOpened handles the first packet of a caller after its opening.
+func (lb *Balancer) observeOpened(now time.Time, p *Packet, f *flow) {
+	srv := f.server
+	f.open, f.answerSeen = true, true
+	srv.load.flows++
+	f.acked = p.Acked
+	lb.OpenTime.Record(now.Sub(f.openedAt))
+	srv.load.handshakeDone(now.Sub(f.openedAt))
+	lb.recordAnswer(now, srv)
+	srv.load.openingDone()
+}
+
+// observeAnswer handles an acknowledgement of new data of the server.
+func (lb *Balancer) observeAnswer(now time.Time, p *Packet, f *flow) {
+	srv := f.server
+	f.acked = p.Acked
+	f.retransmissions, f.answerSeen = 0, true
+	lb.recordAnswer(now, srv)
+	srv.ackedAt = now
+	if !f.requestStartedAt.IsZero() {
+		lb.AnswerTime.Record(now.Sub(f.requestStartedAt))
+		lb.observeCost(now, p, f)
+		srv.load.requestDone(now, f)
+		lb.demand.answered(now, srv, f, lb.relativeCost(srv.Service, costKey(p, f)))
+	}
+}
+
 // observeData handles data that a caller sends for the first time or
 // retransmits. New data after an answer starts a request.
 func (lb *Balancer) observeData(now time.Time, p *Packet, f *flow) {
--- a/pkg/router/sums.go
+++ b/pkg/router/sums.go
@@ -234,7 +234,6 @@
 			}
 			for _, sent := range t.Sent {
 				if sent.Domain == lb.Domain {
-					own.Received += sent.Opened
 					own.ReceivedInProgress += float64(sent.InProgress)
 				}
 			}
