router: choosing a server is apart from what a new flow changes

A decision can't be explained by the functions that make it while these draw random numbers and record the flow. place, placeIn and the new placePlanned get the pool and the policy and choose; placeAdmitted draws and records. The random part of estimates and scores comes from an interface, checks before placing are beforePlacing, and why a server gets no flow is a serverState, of which usable and healthy are the yes or no. Asking whether a failure domain is unreachable adds no entry for it any more.

--- a/pkg/router/admission.go
+++ b/pkg/router/admission.go
@@ -71,30 +71,42 @@
 		lb.demand.service(service).offered[class].Add(now, lb.relativeCost(service, cost.Key{Route: p.Service, Bucket: rt.bucket}))
 	}
 	sa := lb.admission.services[service]
+	var srv *server
+	var reason wire.Reason
 	if sa == nil || !sa.inForce || p.Retransmissions > 0 {
-		return lb.place(now, service, rt.LatencyTarget, failed)
+		srv, reason = lb.place(now, lb.pools[service], rt.LatencyTarget, failed, lb.choose)
+	} else {
+		srv, reason = lb.placePlanned(now, lb.pools[service], rt, sa, lb.rnd.Float64(), failed, lb.choose)
 	}
-	draw := lb.rnd.Float64()
+	if srv != nil {
+		lb.recordColdFlow(now, srv)
+	}
+	return srv, reason
+}
+
+// placePlanned chooses the server of a new flow by the plan in force. draw is from 0 to 1
+// and says which part of the new flows this one belongs to.
+func (lb *Balancer) placePlanned(now time.Time, p *pool, rt *Route, sa *serviceAdmission, draw float64, failed *server, choose choosePolicy) (*server, wire.Reason) {
+	class := load.Class(rt.Priority)
 	if draw < sa.plan.Admit[class] {
-		if srv, reason := lb.placeIn(now, service, lb.Domain, failed); srv != nil {
+		if srv, reason := lb.placeIn(now, p, lb.Domain, failed, choose); srv != nil {
 			return srv, reason
 		}
-		return lb.place(now, service, rt.LatencyTarget, failed)
+		return lb.place(now, p, rt.LatencyTarget, failed, choose)
 	}
 	draw -= sa.plan.Admit[class]
 	for i := range sa.plan.Away {
 		away := &sa.plan.Away[i]
 		if draw < away.Share[class] {
-			return lb.placeIn(now, service, away.Domain, failed)
+			return lb.placeIn(now, p, away.Domain, failed, choose)
 		}
 		draw -= away.Share[class]
 	}
 	return nil, wire.ReasonOverloaded
 }
 
-// placeIn places a new flow at a healthy server of a failure domain.
-func (lb *Balancer) placeIn(now time.Time, service, domain string, failed *server) (*server, wire.Reason) {
-	p := lb.pools[service]
+// placeIn chooses a healthy server of a failure domain for a new flow.
+func (lb *Balancer) placeIn(now time.Time, p *pool, domain string, failed *server, choose choosePolicy) (*server, wire.Reason) {
 	if p == nil {
 		return nil, wire.ReasonNoServer
 	}
@@ -108,10 +120,9 @@
 		}
 		candidates = lb.admission.remote
 	}
-	best, _ := lb.choose(lb, now, p, candidates, failed)
+	best, _ := choose(lb, now, p, candidates, failed)
 	if best == nil {
 		return nil, wire.ReasonOverloaded
 	}
-	lb.recordColdFlow(now, best)
 	return best, wire.ReasonNone
 }
--- a/pkg/router/balancer.go
+++ b/pkg/router/balancer.go
@@ -184,20 +184,9 @@
 // handleOpening places a new flow. A retransmitted opening is placed anew,
 // since the server of the earlier one did not answer it.
 func (lb *Balancer) handleOpening(now time.Time, p *Packet) Verdict {
-	if !lb.Ready() {
-		return drop(wire.ReasonNoSettings)
-	}
-	if lb.staleAfterPause(now) {
-		return drop(wire.ReasonNotFresh)
-	}
-	rt := lb.routes[p.Service]
-	if rt == nil {
-		return lb.handleUnroutedOpening(p)
-	}
-	f := lb.flows.get(p)
-	if f != nil && f.open {
-		// A delayed duplicate of an opening that the server has answered.
-		return drop(wire.ReasonUnknownFlow)
+	rt, f := lb.routes[p.Service], lb.flows.get(p)
+	if v, done := lb.beforePlacing(now, p, rt, f); done {
+		return v
 	}
 	var failed *server
 	if f != nil {
@@ -222,6 +211,23 @@
 	return forward(srv)
 }
 
+// beforePlacing returns the decision on an opening that is not placed. rt is its route
+// and f its flow, nil if there is none.
+func (lb *Balancer) beforePlacing(now time.Time, p *Packet, rt *Route, f *flow) (v Verdict, done bool) {
+	switch {
+	case !lb.Ready():
+		return drop(wire.ReasonNoSettings), true
+	case lb.staleAfterPause(now):
+		return drop(wire.ReasonNotFresh), true
+	case rt == nil:
+		return lb.handleUnroutedOpening(p), true
+	case f != nil && f.open:
+		// A delayed duplicate of an opening that the server has answered.
+		return drop(wire.ReasonUnknownFlow), true
+	}
+	return Verdict{}, false
+}
+
 // handleUnroutedOpening handles an opening to an address without a route. An
 // instance that knows a new route may have opened the flow of an earlier copy.
 func (lb *Balancer) handleUnroutedOpening(p *Packet) Verdict {
--- a/pkg/router/health.go
+++ b/pkg/router/health.go
@@ -155,6 +155,12 @@
 	return d
 }
 
+// unreachable reports whether a failure domain counts as unreachable.
+func (lb *Balancer) unreachable(name string) bool {
+	d := lb.domains[name]
+	return d != nil && d.unreachable
+}
+
 // recordAnswer records that a caller got an answer from a server.
 func (lb *Balancer) recordAnswer(now time.Time, srv *server) {
 	srv.health.recordAnswer(now)
@@ -270,7 +276,11 @@
 // pause: most of those in its socket were given up, and its records are as old as the
 // pause until they are confirmed. The other instances serve the callers meanwhile.
 func (lb *Balancer) staleAfterPause(now time.Time) bool {
-	return now.Sub(lb.resumedAt) < pauseGrace && lb.confirmedAt.Before(lb.resumedAt)
+	resumedAt := lb.resumedAt
+	if now.Sub(lb.lastCallAt) > openingLifetime {
+		resumedAt = now // as beginCall will set it
+	}
+	return now.Sub(resumedAt) < pauseGrace && lb.confirmedAt.Before(resumedAt)
 }
 
 // Isolated reports whether there is a service for which all servers that may
@@ -283,7 +293,7 @@
 			for _, srv := range servers {
 				switch {
 				case !lb.usable(srv):
-				case lb.domain(srv.Domain).unreachable:
+				case lb.unreachable(srv.Domain):
 					unreachable++
 				default:
 					reachable++
--- a/pkg/router/place.go
+++ b/pkg/router/place.go
@@ -87,15 +87,14 @@
 // place chooses the server of a new flow. Servers of the local
 // failure domain are preferred until they are too slow for the latency target.
 // failed is the server that did not answer an earlier copy of the opening, or
-// nil; it comes last.
-func (lb *Balancer) place(now time.Time, service string, latencyTarget time.Duration, failed *server) (*server, wire.Reason) {
-	p := lb.pools[service]
+// nil; it comes last. p is nil for a service without servers.
+func (lb *Balancer) place(now time.Time, p *pool, latencyTarget time.Duration, failed *server, choose choosePolicy) (*server, wire.Reason) {
 	if p == nil {
 		return nil, wire.ReasonNoServer
 	}
-	best, localLatency := lb.choose(lb, now, p, p.local, failed)
+	best, localLatency := choose(lb, now, p, p.local, failed)
 	if best == nil || localLatency > time.Duration(localTargetRatio*float64(latencyTarget)) {
-		remote, remoteLatency := lb.choose(lb, now, p, p.remote, failed)
+		remote, remoteLatency := choose(lb, now, p, p.remote, failed)
 		if best == nil || remote != nil && remoteLatency+remoteLatencyCost < time.Duration(remoteMaxRatio*float64(localLatency)) {
 			best = remote
 		}
@@ -108,7 +107,7 @@
 	}
 	switch {
 	case best != nil:
-		lb.recordColdFlow(now, best)
+		return best, wire.ReasonNone
 	case lb.hasColdLimited(now, p):
 		return nil, wire.ReasonColdLimit
 	case p.hasFull():
@@ -116,19 +115,15 @@
 	default:
 		return nil, wire.ReasonNoServer
 	}
-	return best, wire.ReasonNone
 }
 
 // usable reports whether a server may get new flows, regardless of its health
 // and load.
-func (lb *Balancer) usable(srv *server) bool {
-	_, excluded := lb.marks.excluded[srv.Domain]
-	return !excluded && !lb.tokens.leaving(srv) && !srv.noNewFlows && srv.token != 0 && lb.byName[srv.name] == srv
-}
+func (lb *Balancer) usable(srv *server) bool { return lb.usableState(srv) == stateHealthy }
 
 // healthy reports whether a server may get a new flow while others can, too.
 func (lb *Balancer) healthy(now time.Time, srv *server) bool {
-	return lb.usable(srv) && !srv.health.suspected(now) && !lb.domain(srv.Domain).unreachable && now.Sub(srv.addedAt) >= lb.Limits.NewServerDelay && !srv.load.full() && !lb.coldLimited(now, srv)
+	return lb.serverState(now, srv) == stateHealthy
 }
 
 // choosePolicy chooses one of the healthy candidates, and returns it with the
@@ -143,7 +138,7 @@
 		for _, candidates := range [][]*server{p.local, p.remote} {
 			var best *server
 			for _, srv := range candidates {
-				if lb.usable(srv) && !srv.load.full() && !lb.coldLimited(now, srv) && lb.domain(srv.Domain).unreachable == unreachable && (best == nil || srv.health.suspectedUntil.Before(best.health.suspectedUntil)) {
+				if lb.usable(srv) && !srv.load.full() && !lb.coldLimited(now, srv) && lb.unreachable(srv.Domain) == unreachable && (best == nil || srv.health.suspectedUntil.Before(best.health.suspectedUntil)) {
 					best = srv
 				}
 			}
@@ -158,9 +153,13 @@
 // estimateLatency returns the expected time until a request sent now is
 // answered.
 func (lb *Balancer) estimateLatency(now time.Time, p *pool, srv *server) time.Duration {
+	return lb.jitteredLatency(now, p, srv, lb.rnd)
+}
+
+func (lb *Balancer) jitteredLatency(now time.Time, p *pool, srv *server, j jitter) time.Duration {
 	load := &srv.load
 	busy := recentWorkWeight * time.Duration(load.RecentWork(now)).Seconds()
-	return time.Duration(float64(lb.baseLatency(now, p, srv)) * (1 + lb.waiting(now, srv) + busy) * (1 + estimateJitter*lb.rnd.Float64()))
+	return time.Duration(float64(lb.baseLatency(now, p, srv)) * (1 + lb.waiting(now, srv) + busy) * (1 + estimateJitter*j.Float64()))
 }
 
 // baseLatency returns the expected latency of a request at an idle server.
--- a/pkg/router/share.go
+++ b/pkg/router/share.go
@@ -43,13 +43,21 @@
 // fairServer returns the server and the lowest estimate of all candidates, or
 // nil if there are none.
 func (lb *Balancer) fairServer(now time.Time, p *pool, candidates []*server, failed *server) (*server, time.Duration) {
+	return lb.chooseFair(now, p, candidates, failed, lb.rnd)
+}
+
+// jitter returns the random parts of estimates and scores, from 0 to 1.
+type jitter interface{ Float64() float64 }
+
+// chooseFair is fairServer with the given jitter.
+func (lb *Balancer) chooseFair(now time.Time, p *pool, candidates []*server, failed *server, j jitter) (*server, time.Duration) {
 	var lowest time.Duration
 	lb.estimates = lb.estimates[:0]
 	for _, srv := range candidates {
 		if srv == failed || !lb.healthy(now, srv) {
 			continue
 		}
-		e := lb.estimateLatency(now, p, srv)
+		e := lb.jitteredLatency(now, p, srv, j)
 		lb.estimates = append(lb.estimates, estimate{srv, e})
 		if lowest == 0 || e < lowest {
 			lowest = e
@@ -62,16 +70,8 @@
 		if c.latency > goodEnoughRatio*lowest {
 			continue
 		}
-		work := max(c.server.load.sentWork, p.virtualWork)
-		leastWork = min(leastWork, work)
-		score := work + lb.estimateWait(now, p, c.server) + shareJitter*unit*lb.rnd.Float64()
-		if shared > 0 {
-			score += shared * lb.sharedWait(now, p, c.server)
-		}
-		if now.Sub(c.server.health.answeredAt) < freshAnswerAge {
-			score -= freshWorkLead * unit / c.server.slots()
-		}
-		if score < bestScore {
+		leastWork = min(leastWork, max(c.server.load.sentWork, p.virtualWork))
+		if score := lb.score(now, p, c.server, unit, shared, j); score < bestScore {
 			best, bestScore = c.server, score
 		}
 	}
@@ -81,6 +81,20 @@
 	return best, lowest
 }
 
+// score ranks a candidate; the lowest gets the flow. unit is the mean work of a request,
+// shared the weight of what other instances have in progress.
+func (lb *Balancer) score(now time.Time, p *pool, srv *server, unit, shared float64, j jitter) float64 {
+	work := max(srv.load.sentWork, p.virtualWork)
+	score := work + lb.estimateWait(now, p, srv) + shareJitter*unit*j.Float64()
+	if shared > 0 {
+		score += shared * lb.sharedWait(now, p, srv)
+	}
+	if now.Sub(srv.health.answeredAt) < freshAnswerAge {
+		score -= freshWorkLead * unit / srv.slots()
+	}
+	return score
+}
+
 // estimateWait returns the time in nanoseconds that a request sent now waits at
 // a server.
 func (lb *Balancer) estimateWait(now time.Time, p *pool, srv *server) float64 {
--- a/pkg/router/sums.go
+++ b/pkg/router/sums.go
@@ -242,5 +242,5 @@
 // reachable reports whether servers of a failure domain may get new flows.
 func (lb *Balancer) reachable(domain string) bool {
 	_, excluded := lb.marks.excluded[domain]
-	return !excluded && !lb.domain(domain).unreachable
+	return !excluded && !lb.unreachable(domain)
 }
