relay: instances explain decisions at the control address

Answers, refusals by rate and invalid requests are counted under `explain`, and each has a log line. Callers don't reach the control address; the readiness address does not know the request.

--- a/pkg/relay/peer.go
+++ b/pkg/relay/peer.go
@@ -58,7 +58,7 @@
 // errLeaving makes the requesting instance choose another one.
 var errLeaving = errors.New("instance is leaving")
 
-// servePeers serves the requests of other instances.
+// servePeers serves the requests of other instances, and of operators.
 func (r *Relay) servePeers() (*http.Server, error) {
 	codec, err := admin.NewCodec()
 	if err != nil {
@@ -70,6 +70,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(exchangePath, connect.NewUnaryHandler(exchangePath, admin.Unary(r.handleExchange), connect.WithCodec(codec), connect.WithReadMaxBytes(maxMessageSize)))
+	mux.Handle(explainPath, r.explainHandler(codec))
 	return r.serve(l, mux), nil
 }
 
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -119,6 +119,9 @@
 	SentRequests, FailedRequests atomic.Uint64
 	// ReceivedRequests are requests from other instances.
 	ReceivedRequests atomic.Uint64
+	// Explained are explanations given to operators. ExplainsLimited are those that
+	// were refused as too many in a second, ExplainsInvalid those with wrong addresses.
+	Explained, ExplainsLimited, ExplainsInvalid atomic.Uint64
 }
 
 // Run serves until ctx ends, then forwards until the platform's routers have
--- a/pkg/relay/vars.go
+++ b/pkg/relay/vars.go
@@ -19,6 +19,7 @@
 			"revs": r.cache.Revs(), "ignored": r.cache.Ignored(), "ageMs": logs.Age(r.Clock(), r.cache.ConfirmedAt()).Milliseconds(), "origin": r.cache.Origin(),
 			"level": r.level, "reads": r.reading, "asks": c.SentRequests.Load(), "askErrors": c.FailedRequests.Load(), "answers": c.ReceivedRequests.Load(),
 		},
+		"explain": map[string]uint64{"given": c.Explained.Load(), "rateLimited": c.ExplainsLimited.Load(), "invalid": c.ExplainsInvalid.Load()},
 		"load":    r.Loads.vars(r.Clock()),
 		"leaving": r.leaving.Load(),
 	}
