ebonyctl: explain shows where a new flow would go, and why

It asks one instance of ebonyplat at its control address and prints a table, or the answer as JSON. Instances of ebonyd do not answer it: the product's own frames have no such request yet, and help and docs say so.

--- a/ebonyctl/client/client.go
+++ b/ebonyctl/client/client.go
@@ -9,6 +9,7 @@
 	"fmt"
 
 	"ebonypaddle/pkg/conf"
+	"ebonypaddle/pkg/router"
 )
 
 // ObjectAPI reads and writes objects of the platform. Put and Delete take effect
@@ -37,6 +38,9 @@
 	// Settings returns the settings of the instance that has the highest
 	// revision among those that respond.
 	Settings(ctx context.Context) (*conf.Snapshot, error)
+	// Explain asks one ebonyplat instance where a new flow would go. Errors:
+	// *NoExplainError.
+	Explain(ctx context.Context, q router.ExplainQuery) (*router.Explanation, error)
 	// Notify sends a change directly to the instances that the client can
 	// reach and returns how many accepted it.
 	Notify(ctx context.Context, change conf.Object) (int, error)
--- a/ebonyctl/verbs/command.go
+++ b/ebonyctl/verbs/command.go
@@ -33,6 +33,10 @@
 		&cli.BoolFlag{Name: "write", Usage: "write the instances' version of every object that differs, except those named by --keep"},
 		&cli.StringSliceFlag{Name: "keep", Usage: "KIND/NAME of an object whose version in the store is kept and put in force, such as an edit made after the restore; may be repeated"},
 	}, wait...)
+	explain := []cli.Flag{
+		&cli.StringFlag{Name: "caller", Usage: "address and port of the caller, whose flow may be known to the instance (default: a new caller)"},
+		&cli.IntFlag{Name: "length", Value: unknownLength, Usage: "length of the first data in bytes (default: that of the route's latest request)"},
+	}
 	root := &cli.Command{
 		Name:                  "ebonyctl",
 		Usage:                 "read and change the settings of ebonypaddle",
@@ -68,6 +72,7 @@
 				commandSpec{name: "forward", flags: forward, usage: "write the instances' settings to a store that lost changes, and raise its revision above theirs; without --write, only show what differs", example: "ebonyctl store forward --write --keep node//utility", run: a.storeForward}),
 			a.newCommand(commandSpec{name: "watch", args: "REV", minArgs: 1, flags: wait[1:], usage: "wait until a revision is in force on every instance", example: "ebonyctl watch 42 --timeout 10s", run: a.watch}),
 			a.newCommand(commandSpec{name: "counters", args: "[PREFIX]", usage: "print the nonzero counters of instances, or all whose names start with PREFIX; --output json prints all counters", example: "ebonyctl counters control.", run: a.counters}),
+			a.newCommand(commandSpec{name: "explain", args: "SERVICE-ADDRESS", minArgs: 1, flags: explain, usage: "show where one ebonyplat instance would send a new flow now, and why, without sending it; --instance is its control address. Only instances of ebonyplat answer, those of ebonyd do not", example: "ebonyctl --instance 10.20.0.7:7002 explain 198.18.0.1:443 --length 900", run: a.explain}),
 			a.newCommand(commandSpec{name: "status", usage: "show instances with their freshness and clock skew, servers, flows, refusals, drops, retries and closes", example: "ebonyctl status --output json", run: a.status}),
 		},
 	}
--- a/ebonyctl/verbs/fake_test.go
+++ b/ebonyctl/verbs/fake_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -18,6 +19,7 @@
 
 	"ebonypaddle/ebonyctl/client"
 	"ebonypaddle/pkg/conf"
+	"ebonypaddle/pkg/router"
 	"ebonypaddle/pkg/store"
 )
 
@@ -153,6 +155,10 @@
 
 func (f *fakeInstances) Settings(context.Context) (*conf.Snapshot, error) { return f.settings, nil }
 
+func (*fakeInstances) Explain(context.Context, router.ExplainQuery) (*router.Explanation, error) {
+	return nil, errors.ErrUnsupported
+}
+
 func (f *fakeInstances) Notify(_ context.Context, o conf.Object) (int, error) {
 	f.notified = append(f.notified, o)
 	return 1, nil
