--- a/pkg/cache/tree.go
+++ b/pkg/cache/tree.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -25,6 +26,9 @@
 	memberTimeout = 15 * time.Second
 	// failedBackoff is how long a member that did not respond is skipped.
 	failedBackoff = 5 * time.Second
+	// maxAggregators is the number of members of a failure domain of which one adds
+	// up the load.
+	maxAggregators = 3
 )
 
 // Member describes one instance.
@@ -98,9 +102,7 @@
 	members := m.live(now)
 	m.Rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 	for _, mb := range members[:min(len(members), sampleSize)] {
-		sent := mb.Member
-		sent.Age = uint32(max(now.Sub(mb.lastSeen), 0) / time.Millisecond)
-		out = append(out, sent)
+		out = append(out, mb.sent(now))
 	}
 	return out
 }
@@ -117,6 +119,70 @@
 	return out
 }
 
+// Aggregators returns the highest-ranked live members of this instance's failure
+// domain, with this instance, in order of rank, at most maxAggregators. The first one
+// adds up what the instances of the domain report; the next one does if it does not
+// answer.
+func (m *Members) Aggregators(now time.Time) []Member {
+	best := append(make([]*member, 0, maxAggregators+1), &member{Member: m.Self, lastSeen: now})
+	for _, mb := range m.byAddr {
+		if mb.Domain != m.Self.Domain || !mb.usable(now) {
+			continue
+		}
+		i, _ := slices.BinarySearchFunc(best, mb, func(a, b *member) int { return compareRank(&a.Member, &b.Member) })
+		if i < maxAggregators {
+			best = slices.Insert(best, i, mb)
+			best = best[:min(len(best), maxAggregators)]
+		}
+	}
+	out := make([]Member, len(best))
+	for i, mb := range best {
+		out[i] = mb.sent(now)
+	}
+	return out
+}
+
+// ForeignRoots returns the highest-ranked live member of each other failure domain, in
+// order of the domains' names.
+func (m *Members) ForeignRoots(now time.Time) []Member {
+	roots := map[string]*Member{}
+	for _, mb := range m.byAddr {
+		if mb.Domain == m.Self.Domain || !mb.usable(now) {
+			continue
+		}
+		if root := roots[mb.Domain]; root == nil || compareRank(&mb.Member, root) < 0 {
+			roots[mb.Domain] = &mb.Member
+		}
+	}
+	out := make([]Member, 0, len(roots))
+	for _, domain := range slices.Sorted(maps.Keys(roots)) {
+		out = append(out, *roots[domain])
+	}
+	return out
+}
+
+// DomainOf returns the failure domain of a live member, and false if the address is
+// not that of one. A member that did not answer this instance lately is live too.
+func (m *Members) DomainOf(now time.Time, a netip.AddrPort) (string, bool) {
+	mb := m.byAddr[a]
+	if mb == nil || now.Sub(mb.lastSeen) > memberTimeout {
+		return "", false
+	}
+	return mb.Domain, true
+}
+
+// sent returns the member as it is sent to others.
+func (mb *member) sent(now time.Time) Member {
+	out := mb.Member
+	out.Age = uint32(max(now.Sub(mb.lastSeen), 0) / time.Millisecond)
+	return out
+}
+
+// usable reports whether a member is live and not skipped.
+func (mb *member) usable(now time.Time) bool {
+	return now.Sub(mb.lastSeen) <= memberTimeout && !now.Before(mb.failedUntil)
+}
+
 // trim keeps only the highest-ranked members of each other failure domain. The
 // tree needs only the first of them, and with 13,000 instances the rest would
 // cost more than all other control work.
@@ -145,6 +211,16 @@
 	return members[m.Rand.IntN(len(members))].Addr, true
 }
 
+// RandomDomainMember returns a random live member of this instance's failure domain other
+// than the one that was asked last, or any other member if there is none.
+func (m *Members) RandomDomainMember(now time.Time, last netip.AddrPort) (netip.AddrPort, bool) {
+	members := slices.DeleteFunc(m.live(now), func(mb *member) bool { return mb.Domain != m.Self.Domain || mb.Addr == last })
+	if len(members) == 0 {
+		return m.RandomMember(now, last)
+	}
+	return members[m.Rand.IntN(len(members))].Addr, true
+}
+
 // live returns the live members that are not skipped, in order of rank, and
 // removes those that timed out.
 func (m *Members) live(now time.Time) []*member {
--- a/pkg/cache/tree_test.go
+++ b/pkg/cache/tree_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -119,3 +120,85 @@
 		assert.Equal(t, len(m.DomainMembers(testStart)), 40)
 	}
 }
+
+// Guards against instances of one failure domain that choose different aggregators, one
+// that failed and stays the first, and one of another domain.
+func TestAggregators(t *testing.T) {
+	all := newMembers(4, 40, func(int, int) bool { return true })
+	first := aggregatorsOf(all[0], testStart)
+	assert.Equal(t, len(first), maxAggregators)
+	self := map[netip.AddrPort]*Members{}
+	for _, m := range all {
+		self[m.Self.Addr] = m
+		if m.Self.Domain == all[0].Self.Domain {
+			assert.Assert(t, slices.Equal(aggregatorsOf(m, testStart), first))
+		}
+	}
+	for i, a := range first {
+		assert.Equal(t, self[a].Self.Domain, all[0].Self.Domain)
+		if i > 0 {
+			assert.Assert(t, compareRank(&self[first[i-1]].Self, &self[a].Self) < 0)
+		}
+	}
+	last := self[first[2]]
+	last.MarkFailed(testStart, first[0])
+	assert.Equal(t, aggregatorsOf(last, testStart)[0], first[1])
+	assert.Equal(t, aggregatorsOf(last, testStart.Add(failedBackoff))[0], first[0])
+	alone := aggregatorsOf(last, testStart.Add(memberTimeout+time.Second))
+	assert.Assert(t, len(alone) == 1 && alone[0] == last.Self.Addr)
+}
+
+func aggregatorsOf(m *Members, now time.Time) (out []netip.AddrPort) {
+	for _, a := range m.Aggregators(now) {
+		out = append(out, a.Addr)
+	}
+	return out
+}
+
+// Guards against totals that are sent to an instance that is gone or does not add up its
+// domain, and against reports of strangers.
+func TestForeignRoots(t *testing.T) {
+	all := newMembers(4, 40, func(int, int) bool { return true })
+	m := all[0]
+	roots := m.ForeignRoots(testStart)
+	assert.Equal(t, len(roots), 3)
+	for _, root := range roots {
+		for _, other := range all {
+			if other.Self.Domain == root.Domain {
+				assert.Equal(t, aggregatorsOf(other, testStart)[0], root.Addr)
+			}
+		}
+	}
+	m.MarkFailed(testStart, roots[1].Addr)
+	next := m.ForeignRoots(testStart)
+	assert.Assert(t, next[1].Domain == roots[1].Domain && next[1].Addr != roots[1].Addr)
+	domain, ok := m.DomainOf(testStart, roots[1].Addr)
+	assert.Assert(t, ok && domain == roots[1].Domain)
+	_, ok = m.DomainOf(testStart, netip.MustParseAddrPort("192.0.2.1:7000"))
+	assert.Assert(t, !ok)
+	late := testStart.Add(memberTimeout + time.Second)
+	_, ok = m.DomainOf(late, roots[1].Addr)
+	assert.Assert(t, !ok)
+	assert.Equal(t, len(m.ForeignRoots(late)), 0)
+}
+
+// Guards against requests that leave the failure domain while it has other members, and
+// against none if it has no other.
+func TestRandomDomainMember(t *testing.T) {
+	m := newMembers(4, 12, func(int, int) bool { return true })[0]
+	last := netip.AddrPort{}
+	for range 50 {
+		a, ok := m.RandomDomainMember(testStart, last)
+		assert.Assert(t, ok && a != last && a != m.Self.Addr)
+		assert.Equal(t, m.byAddr[a].Domain, m.Self.Domain)
+		last = a
+	}
+	for _, a := range m.DomainMembers(testStart) {
+		delete(m.byAddr, netip.MustParseAddrPort(a))
+	}
+	a, ok := m.RandomDomainMember(testStart, last)
+	assert.Assert(t, ok && m.byAddr[a].Domain != m.Self.Domain)
+	m.byAddr = nil
+	_, ok = m.RandomDomainMember(testStart, last)
+	assert.Assert(t, !ok)
+}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -79,10 +79,14 @@
 	// Clock returns the monotonic time.
 	Clock    func() time.Time
 	Shutdown ShutdownTimes
-	Balancer *router.Balancer
-	Log      *slog.Logger
+	// TokenPauses are set to others in tests.
+	TokenPauses TokenPauses
+	Balancer    *router.Balancer
+	Log         *slog.Logger
 	// Counters count packets and requests.
 	Counters Counters
+	// Loads count the datagrams by which instances exchange their load.
+	Loads LoadCounters
 	// Debug serves the variables of Vars at the address Metrics. Without Debug
 	// no such server runs.
 	Metrics netip.AddrPort
@@ -93,6 +97,7 @@
 	packet       router.Packet // the packet being handled
 	leaving      atomic.Bool
 	lastPacketAt atomic.Int64 // arrival of the latest packet in Unix nanoseconds
+	sharer       loadSharer   // Balancer unless a test replaces it
 
 	// cacheMu guards the fields below. It is locked before mu.
 	cacheMu         sync.Mutex
@@ -116,6 +121,9 @@
 	SentRequests, FailedRequests atomic.Uint64
 	// ReceivedRequests are requests from other instances.
 	ReceivedRequests atomic.Uint64
+	// Explained are explanations given to operators. ExplainsLimited are those that
+	// were refused as too many in a second, ExplainsInvalid those with wrong addresses.
+	Explained, ExplainsLimited, ExplainsInvalid atomic.Uint64
 }
 
 // Run serves until ctx ends, then forwards until the platform's routers have
@@ -154,6 +162,8 @@
 	wg.Go(func() { r.probe(runCtx) })
 	wg.Go(func() { r.runReadPolicy(runCtx) })
 	wg.Go(func() { r.exchangeLoop(runCtx) })
+	wg.Go(func() { r.shareLoad(runCtx) })
+	wg.Go(func() { r.askTokens(runCtx) })
 	for k := range cache.Kinds {
 		wg.Go(func() { r.readLoop(runCtx, k) })
 	}
--- a/pkg/router/balancer.go
+++ b/pkg/router/balancer.go
@@ -78,15 +78,18 @@
 	byName           map[string]*server
 	tokens           tokenTable
 	pools            map[string]*pool
+	demand           demand
+	admission        admission
 	flows            flowTable
-	removedTokens    tokenSet             // tokens of servers that are no longer used
+	answers          lastAnswers
+	ended            endedProcesses
 	unknownTokens    map[uint32]time.Time // by token, with the time of its first packet
 	domains          map[string]*domain
 	pendingOpenings  []pendingOpening // oldest first; those before nextPending are done
 	nextPending      int
 	self             string                     // name of this instance
 	peers            []string                   // live instances of this failure domain, with this one
-	removedServers   int                        // servers without a record
+	removedServers   map[*server]struct{}       // servers without a record
 	expired          map[netip.AddrPort]*server // those that outlive RemovalGrace, by address
 	synced           bool                       // all server records of the store were applied
 	cleanedAt        time.Time                  // last removal of idle flows and old tokens
@@ -113,14 +116,16 @@
 	}
 	lb.marks.start()
 	lb.byName = map[string]*server{}
-	lb.tokens.start()
+	lb.tokens.start(lb.Log)
+	lb.ended.start()
 	lb.pools = map[string]*pool{}
+	lb.demand.start()
+	lb.admission.start()
 	lb.unknownTokens = map[uint32]time.Time{}
 	lb.domains = map[string]*domain{}
-	lb.expired = map[netip.AddrPort]*server{}
+	lb.expired, lb.removedServers = map[netip.AddrPort]*server{}, map[*server]struct{}{}
 	lb.startedAt, lb.lastCallAt = now, now
 	lb.flows.start(lb.Limits.MaxFlows)
-	lb.removedTokens.start()
 }
 
 // SetSynced records that all server records of the store were applied.
@@ -180,33 +185,24 @@
 // handleOpening places a new flow. A retransmitted opening is placed anew,
 // since the server of the earlier one did not answer it.
 func (lb *Balancer) handleOpening(now time.Time, p *Packet) Verdict {
-	if !lb.Ready() {
-		return drop(wire.ReasonNoSettings)
-	}
-	if lb.staleAfterPause(now) {
-		return drop(wire.ReasonNotFresh)
-	}
-	rt := lb.routes[p.Service]
-	if rt == nil {
-		return lb.handleUnroutedOpening(p)
-	}
-	f := lb.flows.get(p)
-	if f != nil && f.open {
-		// A delayed duplicate of an opening that the server has answered.
-		return drop(wire.ReasonUnknownFlow)
+	rt, f := lb.routes[p.Service], lb.flowToOpen(p)
+	if v, done := lb.beforePlacing(now, p, rt, f); done {
+		return v
 	}
 	var failed *server
 	if f != nil {
 		failed = f.server
 		lb.recordRetransmittedOpening(now, f, p)
 	}
-	srv, reason := lb.place(now, lb.chooseService(rt), rt.LatencyTarget, failed)
+	service := lb.chooseService(rt)
+	srv, reason := lb.placeAdmitted(now, p, rt, service, failed)
 	if srv == nil {
 		return refuse(reason)
 	}
 	lb.Opened++
 	if srv.Domain != lb.Domain {
 		lb.CrossDomain++
+		lb.demand.sent(now, srv)
 	}
 	lb.Log.Info("flow placed", "flow", p, "server", srv.name, "domain", srv.Domain, "copy", p.Retransmissions, "inFlight", srv.load.InFlight, "latency", srv.load.Latency, "version", lb.settings.Version, "rev", srv.Rev)
 	lb.flows.put(now, p, srv)
@@ -216,6 +212,33 @@
 	return forward(srv)
 }
 
+// beforePlacing returns the decision on an opening that is not placed. rt is its route
+// and f its flow, nil if there is none.
+func (lb *Balancer) beforePlacing(now time.Time, p *Packet, rt *Route, f *flow) (v Verdict, done bool) {
+	switch {
+	case !lb.Ready():
+		return drop(wire.ReasonNoSettings), true
+	case lb.staleAfterPause(now):
+		return drop(wire.ReasonNotFresh), true
+	case rt == nil:
+		return lb.handleUnroutedOpening(p), true
+	case f != nil && f.open:
+		// A delayed duplicate of an opening that the server has answered.
+		return drop(wire.ReasonUnknownFlow), true
+	}
+	return Verdict{}, false
+}
+
+// flowToOpen returns the state of the flow that an opening is for. There is none if the
+// caller ended the flow: its port is in use again.
+func (lb *Balancer) flowToOpen(p *Packet) *flow {
+	f := lb.flows.get(p)
+	if f != nil && f.ended {
+		return nil
+	}
+	return f
+}
+
 // handleUnroutedOpening handles an opening to an address without a route. An
 // instance that knows a new route may have opened the flow of an earlier copy.
 func (lb *Balancer) handleUnroutedOpening(p *Packet) Verdict {
@@ -265,10 +288,13 @@
 
 // handleUnknownToken handles a packet whose token belongs to no known server.
 func (lb *Balancer) handleUnknownToken(now time.Time, p *Packet) Verdict {
+	if lb.tokens.contested(p.Token) {
+		return drop(wire.ReasonTokenContested)
+	}
 	if p.Reset {
 		return drop(wire.ReasonUnknownFlow)
 	}
-	if lb.removedTokens.has(p.Token) && lb.serverGone(now, p) {
+	if lb.tokens.removed.has(p.Token) && lb.serverGone(now, p) {
 		lb.flows.remove(p)
 		return refuse(wire.ReasonServerGone)
 	}
@@ -298,6 +324,9 @@
 	lb.beginCall(now)
 	lb.expireRemoved(now)
 	lb.expireRestored(now)
+	lb.demand.expire(now, maxInProgress)
+	lb.expireSums(now)
+	lb.tokens.expire(now)
 	if now.Sub(lb.cleanedAt) < time.Second {
 		return
 	}
--- a/pkg/router/health.go
+++ b/pkg/router/health.go
@@ -77,6 +77,8 @@
 type passiveHealth struct {
 	answeredAt time.Time
 	failures   int
+	// failingSince is when the first of the failures was found.
+	failingSince time.Time
 	// retransmissions counts the failures that were retransmitted data of an
 	// open flow, the latest at retransmittedAt. They are counted apart because
 	// an overloaded server ignores openings but still serves its flows.
@@ -100,7 +102,7 @@
 // did not come. From suspectFailures on, the server is suspected.
 func (h *passiveHealth) recordFailure(now time.Time, k flowKey) {
 	if h.failures == 0 {
-		h.firstFlow = k
+		h.firstFlow, h.failingSince = k, now
 	}
 	h.multipleFlows = h.multipleFlows || k != h.firstFlow
 	h.failures++
@@ -155,9 +157,16 @@
 	return d
 }
 
+// unreachable reports whether a failure domain counts as unreachable.
+func (lb *Balancer) unreachable(name string) bool {
+	d := lb.domains[name]
+	return d != nil && d.unreachable
+}
+
 // recordAnswer records that a caller got an answer from a server.
 func (lb *Balancer) recordAnswer(now time.Time, srv *server) {
 	srv.health.recordAnswer(now)
+	lb.answers.add(now, srv.ID)
 	lb.recordReachable(now, srv.Domain)
 }
 
@@ -270,7 +279,11 @@
 // pause: most of those in its socket were given up, and its records are as old as the
 // pause until they are confirmed. The other instances serve the callers meanwhile.
 func (lb *Balancer) staleAfterPause(now time.Time) bool {
-	return now.Sub(lb.resumedAt) < pauseGrace && lb.confirmedAt.Before(lb.resumedAt)
+	resumedAt := lb.resumedAt
+	if now.Sub(lb.lastCallAt) > openingLifetime {
+		resumedAt = now // as beginCall will set it
+	}
+	return now.Sub(resumedAt) < pauseGrace && lb.confirmedAt.Before(resumedAt)
 }
 
 // Isolated reports whether there is a service for which all servers that may
@@ -283,7 +296,7 @@
 			for _, srv := range servers {
 				switch {
 				case !lb.usable(srv):
-				case lb.domain(srv.Domain).unreachable:
+				case lb.unreachable(srv.Domain):
 					unreachable++
 				default:
 					reachable++
--- a/pkg/router/records.go
+++ b/pkg/router/records.go
@@ -49,6 +49,11 @@
 	Repeatable bool
 	// LatencyTarget is the time within which an answer should arrive.
 	LatencyTarget time.Duration
+	// Priority orders routes while servers lack room, 0 comes first.
+	Priority int
+
+	answerSize float64 // usual length of an answer in bytes
+	bucket     uint8   // of the length of the latest request's first data
 }
 
 // Service holds the settings that apply to all servers of a service.
@@ -59,6 +64,8 @@
 	// that there is no limit.
 	ColdDuration time.Duration
 	ColdRate     float64
+	// MaxFlows is the number of open flows that each server holds, 0 for no limit.
+	MaxFlows int
 }
 
 // Settings are the routes and services that operators configured.
@@ -79,6 +86,8 @@
 	Name    string
 	Rev     revs.Rev
 	Deleted bool
+	// Invalid is set with Deleted if there is an object that does not decode.
+	Invalid bool
 	Value   T
 }
 
