admit: nothing is refused while half of the servers' slots are free

Cause: the capacity follows from answers less rejections, and in the second after the return nearly all answers were rejections; refused flows give no new answers, so the estimate stayed low for 1.5 s. A plan now refuses nothing while less than half of the slots are busy. TestIdleServersRefuseNothing fails without it.

--- a/pkg/admit/admit.go
+++ b/pkg/admit/admit.go
@@ -19,6 +19,10 @@
 	// busyShare is the share of the slots that must be busy for a plan to come into
 	// force. With fewer, the queues are those of single servers, which placing avoids.
 	busyShare = 0.9
+	// idleShare is the share of busy slots below which nothing is refused, although the
+	// plan stays in force: servers have room, whatever the capacity looks like. After a
+	// common outage most answers are rejections, and little is known of it.
+	idleShare = 0.5
 	// flowHorizon is the time in which the requests of a new flow count when it is
 	// admitted. Those of the flows that are open cannot be refused afterwards.
 	flowHorizon = time.Second
@@ -50,6 +54,9 @@
 	minRoom       = 0.3
 )
 
+// allClasses admits all new flows.
+var allClasses = [load.Classes]float64{1, 1, 1, 1}
+
 // Domain is the load of a service in one failure domain.
 type Domain struct {
 	load.Total
@@ -112,6 +119,10 @@
 		s.trim, s.refuses, s.rooms = 0, false, nil
 		return Plan{}, false
 	}
+	if own.Busy+own.ReceivedInProgress < idleShare*own.Slots {
+		s.refuses = false
+		return Plan{Admit: allClasses}, true
+	}
 	perFlow := requestsPerFlow(&own)
 	states := make([]domainState, 0, len(others)+1)
 	s.updateTrim(bearable, &own)
@@ -278,8 +289,7 @@
 		excess += states[i].excess
 		demand.Add(&states[i].Demand)
 	}
-	all := [load.Classes]float64{1, 1, 1, 1}
-	share, _, _ := shares(total, excess, all, &demand)
+	share, _, _ := shares(total, excess, allClasses, &demand)
 	rooms, excesses := 0.0, 0.0
 	for i := range states {
 		st := &states[i]
--- a/pkg/admit/admit_test.go
+++ b/pkg/admit/admit_test.go
@@ -181,3 +181,17 @@
 	_, pressed = s.Update(now, target, out, nil)
 	assert.Assert(t, !pressed)
 }
+
+// Guards against refusals while servers are idle, because most answers of the last
+// second were rejections: all callers came back at once after an outage.
+func TestIdleServersRefuseNothing(t *testing.T) {
+	var s Service
+	_, pressed := s.Update(now, target, domain("a", bearableNow+2, 0.2*capacityPerS, 2*capacityPerS), nil)
+	assert.Assert(t, pressed)
+	d := domain("a", 0.3, 0.1*capacityPerS, 0.3*capacityPerS)
+	d.Demand.Done, d.Demand.Rejected = 100, 90
+	p, pressed := s.Update(now.Add(200*time.Millisecond), target, d, nil)
+	assert.Assert(t, pressed)
+	equal(t, p.Admit[1], 1)
+	equal(t, p.Admit[2], 1)
+}
