router: moved flows are seen also while many requests begin

The platform's routers moved all flows as the instances came back; the requests count at the instance where they began for 2 s, as each request on an own flow hid one that had moved.

--- a/pkg/router/admission_test.go
+++ b/pkg/router/admission_test.go
@@ -163,7 +163,9 @@
 	}
 	assert.Equal(t, inProgress(t, lb, now), len(mine))
 	now = now.Add(2 * movedBefore)
-	for _, o := range others[:movedFlows] {
+	for i, o := range others[:movedFlows] {
+		fresh := newCaller(lb, uint16(200+i), otherAddr)
+		assertForwarded(t, fresh.open(now, 0))
 		assertForwarded(t, o.data(now, 0, 0, 100))
 	}
 	assert.Equal(t, inProgress(t, lb, now), 0)
--- a/pkg/router/demand.go
+++ b/pkg/router/demand.go
@@ -10,10 +10,11 @@
 	// maxInProgress is how long a request without an answer counts as in progress.
 	// Its packets may go through another instance by then, or its caller gave up.
 	maxInProgress = 2 * time.Second
-	// movedFlows is the number of flows from other instances, without requests on
-	// others, that shows that the platform's routers distribute all flows anew. Own
-	// requests that began more than movedBefore ago then go on at other instances.
+	// movedFlows is the number of flows from other instances within movedWindow that
+	// shows that the platform's routers distribute all flows anew. Own requests that
+	// began more than movedBefore ago then go on at other instances.
 	movedFlows  = 4
+	movedWindow = 200 * time.Millisecond
 	movedBefore = 100 * time.Millisecond
 	// rejectionRatio is the length of an answer, as a share of what is usual for its
 	// route, below which it looks like a rejection.
@@ -28,9 +29,9 @@
 	services map[string]*serviceDemand
 	begunAt  []activeRequest // oldest first; those before next are done
 	next     int
-	// moved counts flows that came from other instances, less the requests that began
-	// on flows which did not.
-	moved int
+	// moved counts flows that came from other instances since movedSince.
+	moved      int
+	movedSince time.Time
 }
 
 // serviceDemand is the demand on one service.
@@ -70,9 +71,6 @@
 	if f.adopted || f.requested {
 		s.begun[f.class].Add(now, cost)
 	}
-	if !f.adopted {
-		d.moved = max(d.moved-1, 0)
-	}
 	f.requested = true
 	d.answerEnded(now, f, rt)
 	f.answerFrom, f.answered = f.acked, false
@@ -131,6 +129,9 @@
 
 // adopted counts an open flow that comes from another instance.
 func (d *demand) adopted(now time.Time) {
+	if now.Sub(d.movedSince) > movedWindow {
+		d.moved, d.movedSince = 0, now
+	}
 	if d.moved++; d.moved < movedFlows {
 		return
 	}
