router: a request without an answer counts as in progress for 0.7 s

Cause, by the figures of the plan: 280 requests in progress for 1.5 s while answers fell to 28 a second: servers over their connection limit had reset the flows, which an instance does not see, and they counted for 2 s. The busy slots looked busy, so the capacity seemed to fall.

--- a/pkg/router/admission_test.go
+++ b/pkg/router/admission_test.go
@@ -135,8 +135,8 @@
 	assert.Equal(t, servers[2], 50)
 }
 
-// Guards against reports that count requests for ever whose packets moved to another
-// instance.
+// Guards against reports that count requests for long whose packets moved to another
+// instance, or whose flow the server reset: a plan then refuses flows while servers are idle.
 func TestReportForgetsOldRequests(t *testing.T) {
 	lb, now := newPressedBalancer()
 	c := newCaller(lb, 1, otherAddr)
--- a/pkg/router/demand.go
+++ b/pkg/router/demand.go
@@ -8,8 +8,9 @@
 
 const (
 	// maxInProgress is how long a request without an answer counts as in progress.
-	// Its packets may go through another instance by then, or its caller gave up.
-	maxInProgress = 2 * time.Second
+	// Its packets may go through another instance by then, its caller gave up, or its
+	// server reset the flow, which the instance does not see.
+	maxInProgress = 700 * time.Millisecond
 	// movedFlows is the number of flows from other instances within movedWindow that
 	// shows that the platform's routers distribute all flows anew. Own requests that
 	// began more than movedBefore ago then go on at other instances.
--- a/pkg/router/load_bounds_test.go
+++ b/pkg/router/load_bounds_test.go
@@ -118,15 +118,15 @@
 
 // Guards against callers of one route who pay for a flood of another one of lower
 // priority.
-func TestUrgentRequestsInFlood(t *testing.T) {
-	for _, x := range []float64{2, 8} {
+func TestUrgentRequestsInFlood(t *testing.T) { assertFlood(t, 2) }
+
+// Guards against the same with a flood of several times what the servers bear.
+func TestUrgentRequestsInHeavyFlood(t *testing.T) {
+	for _, x := range []float64{4, 8} {
 		t.Run(fmt.Sprint(x), func(t *testing.T) { assertFlood(t, x) })
 	}
 }
 
-// Guards against the same with a flood of four times what the servers bear.
-func TestUrgentRequestsInFloodOfFour(t *testing.T) { assertFlood(t, 4) }
-
 func assertFlood(t *testing.T, x float64) {
 	t.Helper()
 	cfg := surgeOf(0, x)
@@ -139,21 +139,23 @@
 // Guards against callers of a crowded failure domain who are refused while others
 // have room, and against callers of the others who then pay for it.
 func TestCrowdedDomain(t *testing.T) {
-	for name, c := range map[string]struct {
-		x       float64
-		replace bool
-	}{"1": {1, false}, "2": {2, false}, "servers of another domain replaced": {1, true}} {
-		t.Run(name, func(t *testing.T) {
-			cfg := surgeOf(0, c.x)
-			cfg.crowded, cfg.replace = true, c.replace
-			sim := newLoadSim(1, cfg).play()
-			for d := 1; d < sim.domains; d++ {
-				assert.Check(t, sim.worth(surging, 0) >= sim.worth(surging, d)-maxDomainGap, "%v", sim)
-				assert.Check(t, sim.worth(surging, d) >= sim.worth(surging, 0)-maxDomainGap, "%v", sim)
-			}
-			assertRecovered(t, sim)
-		})
+	t.Run("with room next door", func(t *testing.T) { assertCrowded(t, 1, false) })
+	t.Run("servers of another domain replaced", func(t *testing.T) { assertCrowded(t, 1, true) })
+}
+
+// Guards against the same while the others have little room.
+func TestVeryCrowdedDomain(t *testing.T) { assertCrowded(t, 2, false) }
+
+func assertCrowded(t *testing.T, x float64, replace bool) {
+	t.Helper()
+	cfg := surgeOf(0, x)
+	cfg.crowded, cfg.replace = true, replace
+	sim := newLoadSim(1, cfg).play()
+	for d := 1; d < sim.domains; d++ {
+		assert.Check(t, sim.worth(surging, 0) >= sim.worth(surging, d)-maxDomainGap, "%v", sim)
+		assert.Check(t, sim.worth(surging, d) >= sim.worth(surging, 0)-maxDomainGap, "%v", sim)
 	}
+	assertRecovered(t, sim)
 }
 
 // Guards against admission that rests on sums which are late, lost, repeated or hold
