--- a/pkg/cache/tree_test.go
+++ b/pkg/cache/tree_test.go
@@ -123,7 +123,7 @@
 
 // Guards against instances of one failure domain that choose different aggregators, one
 // that failed and stays the first, and one of another domain.
-func TestAggregators(t *testing.T) {
+func TestInstancesAgreeOnTheAggregator(t *testing.T) {
 	all := newMembers(4, 40, func(int, int) bool { return true })
 	first := aggregatorsOf(all[0], testStart)
 	assert.Equal(t, len(first), maxAggregators)
--- a/pkg/cost/left_test.go
+++ b/pkg/cost/left_test.go
@@ -25,7 +25,7 @@
 
 // Guards against a request that runs for long being taken for nearly done, and against
 // the whole work being expected of one that is.
-func TestLeft(t *testing.T) {
+func TestRestOfLongRequestsIsNotTooShort(t *testing.T) {
 	for load, d := range draws {
 		t.Run(load, func(t *testing.T) {
 			w := newWorld(1)
@@ -60,7 +60,7 @@
 
 // Guards against a tail that differs from that of the requests, and one that stays high
 // when they have changed.
-func TestTail(t *testing.T) {
+func TestTailOfCostsIsNotLost(t *testing.T) {
 	for load, want := range map[string]float64{"equal": 1, "spread": 1.47, "heavy": math.Exp(1.88 - 0.5)} {
 		t.Run(load, func(t *testing.T) {
 			w := newWorld(1)
