--- a/review/standin-2/cold.go
+++ b/review/standin-2/cold.go
@@ -34,18 +34,8 @@
 func deploy(w *world, s *service, instances []int) (*deployment, error) {
 	d := &deployment{w: w, service: netip.AddrPortFrom(w.ip(198, 1), 8443), clients: map[string]*client{}}
 	w.configure([]*service{s}, route{d.service, s})
-	perZone := s.hosts
-	n := 0
-	for z, zone := range w.zones {
-		for i := range perZone[z] {
-			n++
-			phase := heartbeat * time.Duration(i+1) / time.Duration(perZone[z])
-			h, err := w.startHost(fmt.Sprintf("i-%08x", 0x7f3a0000+n*0x1111), s.name, zone, netip.AddrPortFrom(w.ip(byte(128+z), byte(i+1)), w.hostPort), s.work, phase)
-			if err != nil {
-				return nil, err
-			}
-			w.hosts = append(w.hosts, h)
-		}
+	if err := d.addHosts(s); err != nil {
+		return nil, err
 	}
 	type place struct {
 		zone string
@@ -77,6 +67,24 @@
 	return d, w.allReady()
 }
 
+// addHosts starts the hosts of a service.
+func (d *deployment) addHosts(s *service) error {
+	w := d.w
+	for z, zone := range w.zones {
+		for i := range s.hosts[z] {
+			n := len(w.hosts) + 1
+			phase := heartbeat * time.Duration(i+1) / time.Duration(s.hosts[z])
+			addr := netip.AddrPortFrom(w.ip(byte(128+z), byte(n)), w.hostPort)
+			h, err := w.startHost(fmt.Sprintf("i-%08x", 0x7f3a0000+n*0x1111), s.name, zone, addr, s.work, phase)
+			if err != nil {
+				return err
+			}
+			w.hosts = append(w.hosts, h)
+		}
+	}
+	return nil
+}
+
 // startLoad sends requests from all zones for a time.
 func (d *deployment) startLoad(perSecond []float64, length time.Duration) {
 	until := time.Now().Add(length)
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -54,6 +54,9 @@
 	cut     chan struct{} // closed when waiting watches are cut off
 	down    bool
 	srv     *http.Server
+
+	listener net.Listener
+	conns    map[string][]net.Conn // by the address of the store
 }
 
 func startStore(addr netip.AddrPort) (*store, error) {
@@ -62,7 +65,14 @@
 	if err != nil {
 		return nil, err
 	}
-	s.srv = &http.Server{Handler: s}
+	s.listener, s.conns = l, map[string][]net.Conn{}
+	s.srv = &http.Server{Handler: s, ConnState: func(c net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.conns[c.LocalAddr().String()] = append(s.conns[c.LocalAddr().String()], c)
+		}
+	}}
 	go func() { _ = s.srv.Serve(l) }() // ends with the program
 	return s, nil
 }
@@ -220,3 +230,12 @@
 	defer s.mu.Unlock()
 	return s.down
 }
+
+// closeAt closes the connections to an address of the store.
+func (s *store) closeAt(addr string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns[addr] {
+		_ = c.Close() // it may be closed
+	}
+}
