--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -66,6 +66,9 @@
 		res.err = fmt.Errorf("longer than %v", maxLength)
 	}
 	w.stopAll()
+	if res.err != nil {
+		w.printLogs()
+	}
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(w.dir)
 	} else {
--- a/review/standin-2/proc.go
+++ b/review/standin-2/proc.go
@@ -156,3 +156,13 @@
 		}
 	}
 }
+
+// printLogs prints the last lines that each process wrote.
+func (w *world) printLogs() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, i := range w.instances {
+		b, err := os.ReadFile(filepath.Join(w.dir, i.name+".log"))
+		fmt.Fprintf(os.Stderr, "%s: %s %v\n", i.name, b[max(len(b)-300, 0):], err)
+	}
+}
