--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -104,7 +104,7 @@
 	flows map[flowKey]*clientFlow
 }
 
-// clientFlow is a flow that carries one request.
+// clientFlow is a flow that carries one request, or several one after the other.
 type clientFlow struct {
 	c        *client
 	key      flowKey
@@ -119,7 +119,10 @@
 	answered bool
 	unacked  []*packet
 	timer    *time.Timer
-	began    time.Time
+	// pause is that between two requests on the flow, until a time. It is 0 for a flow
+	// that carries one request.
+	pause time.Duration
+	until time.Time
 }
 
 func (w *world) startClient(zone string, addr netip.Addr) (*client, error) {
@@ -133,23 +136,41 @@
 }
 
 // request opens a flow and sends one request on it.
-func (c *client) request(service netip.AddrPort) {
+func (c *client) request(service netip.AddrPort) { c.open(service, 0, time.Time{}) }
+
+// open opens a flow on which requests follow each other after a pause until a time. With
+// no pause it carries one.
+func (c *client) open(service netip.AddrPort, pause time.Duration, until time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.port++
 	k := flowKey{netip.AddrPortFrom(c.addr, c.port), service}
-	f := &clientFlow{c: c, key: k, iss: rand.Uint32(), began: time.Now()}
+	f := &clientFlow{c: c, key: k, iss: rand.Uint32(), pause: pause, until: until}
 	f.sent, f.acked = f.iss+1, f.iss
 	f.rec = c.w.newRequest(c.zone, k)
 	c.flows[k] = f
 	f.sendSyn(0)
+	f.awaitAnswer()
+}
+
+// awaitAnswer gives the flow up if the next request is not answered before its deadline.
+func (f *clientFlow) awaitAnswer() {
+	n := f.rec.answers
 	time.AfterFunc(clientDeadline, func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		f.finish("no answer before the deadline")
+		f.c.mu.Lock()
+		defer f.c.mu.Unlock()
+		if f.rec.answers == n {
+			f.finish("no answer before the deadline")
+		}
 	})
 }
 
+// send sends a request on the open flow.
+func (f *clientFlow) send() {
+	text := fmt.Sprintf("GET /%s HTTP/1.1\r\nHost: h\r\nAttempt-Id: %s-%d\r\n\r\n", f.rec.id, f.rec.id, f.rec.answers)
+	f.sendKept(&packet{flags: flagAck, data: []byte(text)})
+}
+
 func (f *clientFlow) sendSyn(n int) {
 	f.rec.synSent(time.Now())
 	f.rec.instance = f.transmit(&packet{flags: flagSyn, seq: f.iss, ack: uint32(n)})
@@ -181,6 +202,7 @@
 	if inst == nil {
 		return "none"
 	}
+	f.rec.sentThrough(inst.name)
 	_, _ = f.c.conn.WriteToUDPAddrPort(p.encode(), inst.data) // it may be down
 	return inst.name
 }
@@ -250,7 +272,7 @@
 		f.open, f.acked, f.rcvNext, f.echo = true, p.ack, p.seq+1, p.echo
 		f.timer.Stop()
 		f.rec.handshake()
-		f.sendKept(&packet{flags: flagAck, data: []byte("GET /" + f.rec.id + " HTTP/1.1\r\nHost: h\r\nAttempt-Id: " + f.rec.id + "\r\n\r\n")})
+		f.send()
 		return
 	}
 	if p.flags&flagSyn != 0 {
@@ -277,11 +299,24 @@
 	f.takeAnswer(p)
 }
 
-// takeAnswer ends the flow after a whole answer, and acknowledges what the host sent.
+// takeAnswer goes on after a whole answer, and acknowledges what the host sent.
 func (f *clientFlow) takeAnswer(p *packet) {
 	if !f.answered && bytes.HasPrefix(f.answer, []byte("HTTP/1.1 ")) && bytes.Contains(f.answer, []byte("\r\n\r\n")) {
-		f.answered = true
 		f.rec.answered(string(f.answer[9:12]))
+		f.answer = nil
+		if f.pause > 0 && time.Now().Before(f.until) {
+			f.transmit(&packet{flags: flagAck, seq: f.sent})
+			time.AfterFunc(time.Duration(float64(f.pause)*(0.5+rand.Float64())), func() {
+				f.c.mu.Lock()
+				defer f.c.mu.Unlock()
+				if f.c.flows[f.key] == f {
+					f.send()
+					f.awaitAnswer()
+				}
+			})
+			return
+		}
+		f.answered = true
 		f.sendKept(&packet{flags: flagFin | flagAck})
 		return
 	}
--- a/review/standin-2/host.go
+++ b/review/standin-2/host.go
@@ -39,6 +39,7 @@
 	born      int64
 	sequence  int
 	draining  bool
+	silent    bool // writes no entry
 	coldUntil time.Time
 	written   string // the entry without Sequence, as it lies in the store
 	flows     map[flowKey]*hostFlow
@@ -137,7 +138,7 @@
 func (h *host) beat() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.w.store.isDown() {
+	if h.silent || h.w.store.isDown() {
 		return
 	}
 	h.sequence++
@@ -166,6 +167,14 @@
 	h.w.addCold(h.name, time.Now(), h.coldUntil)
 }
 
+// setSilent stops the host's reports to the store, or resumes them. Its next report writes
+// the entry, which the store may have removed.
+func (h *host) setSilent(silent bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.silent, h.written = silent, ""
+}
+
 func (h *host) receive(conn *net.UDPConn) {
 	b := make([]byte, 2048)
 	for {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -23,6 +23,7 @@
 }{
 	"cold-list":   {[]string{"fi-south-a", "fi-south-b", "fi-south-c", "fi-south-d"}, coldList},
 	"cold-freeze": {[]string{"fi-south-a", "fi-south-b"}, coldFreeze},
+	"silent-host": {[]string{"fi-south-a", "fi-south-b", "fi-south-c", "fi-south-d"}, silentHost},
 	"moved-store": {[]string{"fi-south-a", "fi-south-b", "fi-south-c", "fi-south-d"}, movedStore},
 	"cold-seeds":  {[]string{"bole", "kirkos", "yeka"}, coldSeeds},
 }
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -65,11 +65,13 @@
 	openAt     time.Time
 	closedAt   time.Time
 	runs       []string
-	status     string
+	status     string // of the latest answer
+	answers    int
 	failure    string
 	resetOpen  bool // a reset of the system came while the flow was open
 	resetAt    time.Time
 	handshaken bool
+	lastInst   string // to which the latest packet went
 }
 
 type arrival struct {
@@ -195,9 +197,11 @@
 
 func (r *request) synSent(t time.Time) { r.locked(func() { r.sentAt = append(r.sentAt, t) }) }
 func (r *request) handshake()          { r.locked(func() { r.handshaken = true }) }
-func (r *request) answered(s string)   { r.locked(func() { r.status = s }) }
+func (r *request) answered(s string)   { r.locked(func() { r.status, r.answers = s, r.answers+1 }) }
 func (r *request) failed(s string)     { r.locked(func() { r.failure = s }) }
 
+func (r *request) sentThrough(inst string) { r.locked(func() { r.lastInst = inst }) }
+
 // reset records a reset that the client took.
 func (r *request) reset(own, open bool) {
 	r.locked(func() {
