--- a/review/standin-2/cold.go
+++ b/review/standin-2/cold.go
@@ -34,6 +34,9 @@
 func deploy(w *world, s *service, instances []int) (*deployment, error) {
 	d := &deployment{w: w, service: netip.AddrPortFrom(w.ip(198, 1), 8443), clients: map[string]*client{}}
 	w.configure([]*service{s}, route{d.service, s})
+	if s.coldPerS > 0 {
+		w.coldBound = s.coldPerS*coldOver + coldSlack
+	}
 	if err := d.addHosts(s); err != nil {
 		return nil, err
 	}
@@ -128,6 +131,7 @@
 		}
 		summary = append(summary, fmt.Sprintf("cold host %s: at most %d requests in one second, from %.3f s on, through %v; bound %.1f%s", s.host, s.n, s.at.Sub(w.began).Seconds(), s.byInst, bound, mark))
 	}
+	summary = append(summary, fmt.Sprintf("requests that a host began to run and nobody answered: %d", w.unanswered()))
 	sent, ok, failed, runs := w.counts()
 	return append(summary, fmt.Sprintf("requests: %d sent, %d answered with 200, %d not, %d runs", sent, ok, failed, runs)), broken
 }
--- a/review/standin-2/host.go
+++ b/review/standin-2/host.go
@@ -45,6 +45,8 @@
 	flows     map[flowKey]*hostFlow
 	busy      int
 	queue     []*hostFlow
+	taken     []time.Time // SYNs of the last second
+	falling   bool
 	stopped   bool
 	stop      chan struct{}
 }
@@ -121,6 +123,26 @@
 	return nil
 }
 
+// fallTime is how long a cold host bears too much.
+const fallTime = 150 * time.Millisecond
+
+// bear counts a new flow. A cold host that gets more than it can bear falls over.
+func (h *host) bear() {
+	now := time.Now()
+	h.taken = append(h.taken, now)
+	for now.Sub(h.taken[0]) >= time.Second {
+		h.taken = h.taken[1:]
+	}
+	if h.w.coldBound <= 0 || h.falling || !now.Before(h.coldUntil) || float64(len(h.taken)) <= h.w.coldBound {
+		return
+	}
+	h.falling = true
+	time.AfterFunc(fallTime, func() {
+		h.crash()
+		h.w.note("cold host %s fell over", h.name)
+	})
+}
+
 // crash ends the host without a word.
 func (h *host) crash() {
 	h.mu.Lock()
@@ -213,6 +235,7 @@
 			f.acked, f.sent = f.iss, f.iss+1
 			h.flows[k] = f
 			h.w.arrived(h, k, p.seq)
+			h.bear()
 		}
 		f.echo = p.echo
 		if !f.open {
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -34,6 +34,9 @@
 	dataPort, readyPort, controlPort, hostPort, storePort uint16
 	misdirected, forged                                   atomic.Int64
 
+	// coldBound is the number of requests in a second that a cold host bears, 0 for any.
+	coldBound float64
+
 	mu        sync.Mutex
 	instances []*instance
 	hosts     []*host
@@ -366,6 +369,19 @@
 	return os.WriteFile(path, []byte(b.String()), 0o644)
 }
 
+// unanswered returns how many requests had begun to run and were not answered.
+func (w *world) unanswered() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, r := range w.requests {
+		if len(r.runs) > r.answers && time.Since(r.at) > clientDeadline {
+			n++
+		}
+	}
+	return n
+}
+
 func (w *world) counts() (sent, ok, failed, runs int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
