--- a/review/standin-2/host.go
+++ b/review/standin-2/host.go
@@ -140,6 +140,7 @@
 	time.AfterFunc(fallTime, func() {
 		h.crash()
 		h.w.note("cold host %s fell over", h.name)
+		time.AfterFunc(3*heartbeat, func() { h.w.store.remove("servers", h.name) })
 	})
 }
 
